--- /dev/null
+++ b/cmd/saltreel-data/main.go
@@ -0,0 +1,30 @@
+// Command saltreel-data runs the data plane: edges that take messages in and
+// stores that keep and deliver them.
+package main
+
+import (
+	"log"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"saltreel/internal/edge"
+	"saltreel/internal/platform"
+	"saltreel/internal/settings"
+	"saltreel/internal/store"
+	"saltreel/internal/wire"
+)
+
+func main() {
+	root := &cobra.Command{Use: "saltreel-data", Short: "The data plane of saltreel: takes messages in, keeps and delivers them"}
+	root.AddCommand(
+		platform.Role("edge", "Run an edge: clients' HTTP, admission, questions about messages", func(set *settings.Settings, logger *log.Logger) (platform.Process, error) {
+			return edge.New(set, wire.TCP(), logger), nil
+		}),
+		platform.Role("store", "Run a store: durable partitions, delivery to handlers", func(set *settings.Settings, logger *log.Logger) (platform.Process, error) {
+			return store.New(set, wire.TCP(), logger)
+		}),
+		platform.Check("edge", "store"),
+	)
+	os.Exit(platform.Main(root))
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"context"
+	"sort"
+	"strings"
+
+	"saltreel/internal/chain"
+	"saltreel/internal/configuration"
+	"saltreel/internal/handler"
+	"saltreel/internal/journal"
+	"saltreel/internal/relay"
+)
+
+// Overview is what the operator's status command shows.
+type Overview struct {
+	Revision  int64              `json:"revision"`
+	View      chain.View         `json:"view"`
+	Placement Placement          `json:"placement"`
+	Nodes     []relay.Node       `json:"nodes"`
+	Handlers  []handler.Instance `json:"handlers"`
+}
+
+// Status tells the state of the system as this core and the tail know it.
+func (c *Core) Status(ctx context.Context) (Overview, error) {
+	o := Overview{View: c.chain.View()}
+	s, err := c.Read(ctx)
+	if err != nil {
+		return o, err
+	}
+	if raw := s.Documents[docConfiguration]; raw != nil {
+		if conf, err := configuration.Parse(raw); err == nil {
+			o.Revision = conf.Revision
+		}
+	}
+	if o.Placement, err = placementOf(s.Documents); err != nil {
+		return o, err
+	}
+	page, _ := c.journal.Since("", 0)
+	for _, e := range page.Events {
+		switch {
+		case e.Gone():
+		case strings.HasPrefix(e.Key, relay.PrefixNode):
+			o.Nodes = append(o.Nodes, journal.Decode[relay.Node](e))
+		case strings.HasPrefix(e.Key, relay.PrefixInstance):
+			o.Handlers = append(o.Handlers, journal.Decode[handler.Instance](e))
+		}
+	}
+	sort.Slice(o.Nodes, func(i, j int) bool { return o.Nodes[i].Name < o.Nodes[j].Name })
+	sort.Slice(o.Handlers, func(i, j int) bool { return o.Handlers[i].ID < o.Handlers[j].ID })
+	return o, nil
+}
--- /dev/null
+++ b/internal/core/steward.go
@@ -0,0 +1,224 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"saltreel/internal/wire"
+)
+
+// Suspicion is a report that a node cannot be reached.
+type Suspicion struct {
+	Node    string `json:"node"`
+	Refused bool   `json:"refused"` // its machine answers that nothing listens
+}
+
+func (c *Core) handleSuspect(ctx context.Context, in *Suspicion, _ []byte) (*struct{}, error) {
+	if _, held := c.duty.Held(); held {
+		go c.probe(context.WithoutCancel(ctx), in.Node)
+	}
+	return &struct{}{}, nil
+}
+
+// probe asks a node itself whether it runs. No answer makes it dead for as
+// long as it does not beat again.
+func (c *Core) probe(ctx context.Context, name string) {
+	n, ok := c.registry.nodes()[name]
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	_, known := c.dead[name]
+	c.mu.Unlock()
+	if known {
+		return
+	}
+	pctx, cancel := context.WithTimeout(ctx, c.contact/12)
+	defer cancel()
+	began := time.Now()
+	err := c.pool.Post(pctx, n.Address, "/ping", struct{}{}, nil, nil)
+	if err == nil {
+		return
+	}
+	c.log.Printf("steward: %s is taken as dead: %v", name, err)
+	c.mu.Lock()
+	c.dead[name] = began
+	c.mu.Unlock()
+	c.nudge()
+}
+
+// InStep is a primary's report that its backup holds everything.
+type InStep struct {
+	Partitions map[int]int64 `json:"partitions"` // by epoch
+}
+
+func (c *Core) handleInStep(ctx context.Context, in *InStep, _ []byte) (*struct{}, error) {
+	for range 3 {
+		cur := c.Placement()
+		next := cur.Clone()
+		changed := false
+		for i, epoch := range in.Partitions {
+			if i < len(next.Partitions) && next.Partitions[i].Epoch == epoch && !next.Partitions[i].InStep {
+				next.Partitions[i].InStep = true
+				changed = true
+			}
+		}
+		if !changed {
+			return &struct{}{}, nil
+		}
+		next.Version++
+		err := c.Propose(ctx, Proposal{Placement: &next})
+		if wire.StatusOf(err) != 409 {
+			return &struct{}{}, err
+		}
+		sleep(ctx, c.contact/80)
+	}
+	return nil, &wire.Status{Code: 503, Text: "the placement changes too often"}
+}
+
+// steward places the partitions while this core holds the duty.
+func (c *Core) steward(ctx context.Context) {
+	tick := time.NewTicker(c.contact / 16)
+	defer tick.Stop()
+	var settled time.Time
+	count, since := 0, time.Now()
+	wasHeld := false
+	for {
+		nudged := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-c.wake:
+			nudged = true
+		}
+		if !c.chain.Steady() {
+			continue
+		}
+		c.duty.Voters = c.chain.Voters()
+		if !nudged {
+			c.duty.Round(ctx, c.Placement().Term)
+		}
+		term, held := c.duty.Held()
+		if held != wasHeld {
+			wasHeld = held
+			settled = time.Now()
+			if held {
+				c.log.Printf("steward: this core holds the duty, term %d", term)
+			}
+		}
+		// A new steward first hears everyone out.
+		if !held || time.Since(settled) < c.contact/8 {
+			continue
+		}
+		stores := c.watch(ctx)
+		cur := c.Placement()
+		var next Placement
+		var handovers []int
+		changed := false
+		if cur.Version == 0 {
+			ups := 0
+			for _, s := range stores {
+				if s.Up {
+					ups++
+				}
+			}
+			if ups != count {
+				count, since = ups, time.Now()
+			}
+			if count < int(c.set.FaultTolerance.HostFailures)+1 || time.Since(since) < c.contact/4 {
+				continue
+			}
+			next, changed = Found(stores), true
+		} else {
+			c.mu.Lock()
+			next, handovers, changed = Plan(cur, stores, c.ready)
+			c.mu.Unlock()
+		}
+		if changed {
+			next.Term = term
+			if err := c.Propose(ctx, Proposal{Placement: &next}); err != nil {
+				c.log.Printf("steward: placement %d: %v", next.Version, err)
+			} else {
+				c.log.Printf("steward: placement %d is in force", next.Version)
+			}
+			continue
+		}
+		c.handover(ctx, cur, handovers)
+	}
+}
+
+// watch looks at all stores; those that were silent for a while are probed.
+func (c *Core) watch(ctx context.Context) map[string]StoreStatus {
+	out := map[string]StoreStatus{}
+	var probes sync.WaitGroup
+	for name, n := range c.registry.nodes() {
+		if n.Role != "store" {
+			continue
+		}
+		if n.age > c.contact/8 {
+			probes.Go(func() { c.probe(ctx, name) })
+		}
+	}
+	probes.Wait()
+	for name, n := range c.registry.nodes() {
+		if n.Role != "store" {
+			continue
+		}
+		c.mu.Lock()
+		deadAt, dead := c.dead[name]
+		if dead && time.Now().Add(-n.age).After(deadAt) {
+			delete(c.dead, name) // it has beaten since
+			dead = false
+			c.log.Printf("steward: %s is back", name)
+		}
+		c.mu.Unlock()
+		out[name] = StoreStatus{Node: n.Node, Up: !dead}
+	}
+	return out
+}
+
+// Handover asks a primary to stop partitions, so that their backups may lead.
+type Handover struct {
+	Partitions map[int]int64 `json:"partitions"` // by epoch
+}
+
+// handover asks the primaries, each in the background.
+func (c *Core) handover(ctx context.Context, cur Placement, partitions []int) {
+	byStore := map[string]map[int]int64{}
+	for _, i := range partitions {
+		p := cur.Partitions[i]
+		if byStore[p.Primary] == nil {
+			byStore[p.Primary] = map[int]int64{}
+		}
+		byStore[p.Primary][i] = p.Epoch
+	}
+	for store, list := range byStore {
+		c.mu.Lock()
+		busy := c.handing[store]
+		c.handing[store] = true
+		c.mu.Unlock()
+		if busy {
+			continue
+		}
+		addr := cur.Stores[store].Address
+		go func() {
+			hctx, cancel := context.WithTimeout(ctx, c.contact)
+			defer cancel()
+			var out Handover
+			err := c.pool.Post(hctx, addr, "/handover", Handover{list}, nil, &out)
+			c.mu.Lock()
+			delete(c.handing, store)
+			for i, epoch := range out.Partitions {
+				c.ready[i] = epoch
+			}
+			c.mu.Unlock()
+			if err != nil {
+				c.log.Printf("steward: handover of %s: %v", store, err)
+				return
+			}
+			c.nudge()
+		}()
+	}
+}
--- /dev/null
+++ b/internal/delivery/delivery.go
@@ -0,0 +1,590 @@
+// Package delivery owns the scheduling at a primary: what is due, in which
+// order, to which handler, how fast, and when again after a failure.
+package delivery
+
+import (
+	"container/heap"
+	"context"
+	"encoding/json"
+	"log"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/handler"
+	"saltreel/internal/journal"
+	"saltreel/internal/partition"
+	"saltreel/internal/quota"
+	"saltreel/internal/relay"
+	"saltreel/internal/settings"
+	"saltreel/internal/wire"
+)
+
+// Scheduler delivers the messages of the partitions that this store leads.
+type Scheduler struct {
+	Set      *partition.Set
+	Pool     *wire.Pool // to handlers
+	Settings *settings.Settings
+	Log      *log.Logger
+	Table    func() *configuration.Table
+	Bytes    *quota.Manager // delivery bytes
+
+	mu       sync.Mutex
+	services map[string]*service
+	targets  map[string]map[string]*target // service, instance
+	parts    map[int]*part
+	wake     chan struct{}
+	tasks    sync.WaitGroup
+
+	flight sync.Mutex
+	flying map[int]int // deliveries under way, by partition
+}
+
+// part is the messages of one partition.
+type part struct {
+	items map[string]*item
+	lines map[string]*line
+}
+
+// line is the messages that share a tenant and an order key: only the first
+// may run.
+type line struct{ items []*item }
+
+// item is a message to deliver.
+type item struct {
+	record   *partition.Record
+	part     *part
+	line     *line
+	due      time.Time // by the steady clock
+	since    time.Time // when it could first have run
+	attempts int       // answered with 500
+	tries    int
+	running  bool
+	queued   bool
+	ended    bool
+	priority int32
+	service  *service
+	last     string // the instance of the last try
+	index    int
+}
+
+// service is the queue of one service.
+type service struct {
+	name   string
+	later  timeHeap
+	ready  readyHeap
+	tokens float64
+	filled time.Time
+	paced  bool
+}
+
+// target is one handler, or the fixed endpoint of a service.
+type target struct {
+	handler.Instance
+	fixed    bool
+	busy     int
+	failures int
+	shut     time.Time // no deliveries until then
+	trial    bool      // one delivery at a time until one succeeds
+	warm     time.Time // slow until then
+}
+
+// Init makes the maps; it is called once.
+func (s *Scheduler) Init() {
+	s.services, s.targets, s.parts = map[string]*service{}, map[string]map[string]*target{}, map[int]*part{}
+	s.wake, s.flying = make(chan struct{}, 1), map[int]int{}
+}
+
+func (s *Scheduler) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Idle tells whether no delivery of a partition is under way.
+func (s *Scheduler) Idle(n int) bool {
+	s.flight.Lock()
+	defer s.flight.Unlock()
+	return s.flying[n] == 0
+}
+
+func (s *Scheduler) fly(n, by int) {
+	s.flight.Lock()
+	s.flying[n] += by
+	s.flight.Unlock()
+}
+
+// Hear takes news of handlers.
+func (s *Scheduler) Hear(e journal.Event) {
+	id, ok := strings.CutPrefix(e.Key, relay.PrefixInstance)
+	if !ok {
+		s.nudge()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var in handler.Instance
+	if !e.Gone() && json.Unmarshal(e.Value, &in) != nil {
+		return
+	}
+	for name, list := range s.targets {
+		if t := list[id]; t != nil && (e.Gone() || name != in.Service || in.State != handler.Ready) {
+			delete(list, id)
+			s.Pool.Forget(t.Address)
+		}
+	}
+	if !e.Gone() && in.State == handler.Ready {
+		list := s.targets[in.Service]
+		if list == nil {
+			list = map[string]*target{}
+			s.targets[in.Service] = list
+		}
+		if t := list[id]; t != nil {
+			t.Instance = in
+		} else {
+			list[id] = &target{Instance: in, warm: time.Now().Add(time.Duration(in.WarmupMs) * time.Millisecond)}
+		}
+	}
+	s.nudge()
+}
+
+// Run schedules until ctx ends, then waits for the deliveries under way.
+func (s *Scheduler) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		events, more := s.Set.Events()
+		next := s.step(ctx, events)
+		timer.Reset(next)
+		select {
+		case <-ctx.Done():
+			s.tasks.Wait()
+			return
+		case <-more:
+		case <-s.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// step takes events in, starts what can be started, and tells when to look again.
+func (s *Scheduler) step(ctx context.Context, events []partition.Event) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, e := range events {
+		if e.Lead || e.Follow {
+			if p := s.parts[e.Partition]; p != nil {
+				for _, it := range p.items {
+					it.ended = true
+				}
+			}
+			delete(s.parts, e.Partition)
+		}
+		if e.Follow {
+			continue
+		}
+		p := s.parts[e.Partition]
+		if p == nil {
+			p = &part{map[string]*item{}, map[string]*line{}}
+			s.parts[e.Partition] = p
+		}
+		for _, r := range e.Records {
+			s.add(p, r, now)
+		}
+	}
+	next := s.Settings.Contact() / 4
+	if ctx.Err() == nil {
+		for _, svc := range s.services {
+			next = min(next, s.pump(ctx, svc, now))
+		}
+	}
+	return max(next, time.Millisecond)
+}
+
+func (s *Scheduler) add(p *part, r *partition.Record, now time.Time) {
+	if p.items[r.ID] != nil {
+		return
+	}
+	it := &item{record: r, part: p, due: now.Add(time.Duration(r.Due-now.UnixMilli()) * time.Millisecond)}
+	if it.due.Before(now) {
+		it.due = now
+	}
+	it.since = it.due
+	p.items[r.ID] = it
+	if r.OrderKey != "" {
+		k := r.Tenant + "\x00" + r.OrderKey
+		l := p.lines[k]
+		if l == nil {
+			l = &line{}
+			p.lines[k] = l
+		}
+		it.line = l
+		at := len(l.items)
+		for at > 0 && l.items[at-1].record.Order > r.Order && !l.items[at-1].running {
+			at--
+		}
+		l.items = append(l.items, nil)
+		copy(l.items[at+1:], l.items[at:])
+		l.items[at] = it
+		if l.items[0] != it {
+			return
+		}
+	}
+	s.enqueue(it)
+}
+
+// enqueue puts an item on the queue of its service.
+func (s *Scheduler) enqueue(it *item) {
+	if it.ended || it.running || it.queued {
+		return
+	}
+	name := ""
+	if t := s.Table(); t != nil {
+		if r := t.Route(it.record.Host, it.record.Target); r != nil {
+			name, it.priority = r.Service, r.Priority
+		}
+	}
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{name: name, filled: time.Now()}
+		s.services[name] = svc
+	}
+	it.service, it.queued = svc, true
+	heap.Push(&svc.later, it)
+}
+
+// close ends an item and lets the next of its line go.
+func (s *Scheduler) close(it *item) {
+	it.ended = true
+	delete(it.part.items, it.record.ID)
+	if l := it.line; l != nil {
+		for i, x := range l.items {
+			if x == it {
+				l.items = append(l.items[:i], l.items[i+1:]...)
+				break
+			}
+		}
+		if len(l.items) == 0 {
+			delete(it.part.lines, it.record.Tenant+"\x00"+it.record.OrderKey)
+		} else {
+			s.enqueue(l.items[0])
+		}
+	}
+}
+
+// pump starts the deliveries of one service that can be started now.
+func (s *Scheduler) pump(ctx context.Context, svc *service, now time.Time) time.Duration {
+	contact := s.Settings.Contact()
+	next := contact / 4
+	for len(svc.later) > 0 && !svc.later[0].due.After(now) {
+		it := heap.Pop(&svc.later).(*item)
+		if it.ended {
+			continue
+		}
+		heap.Push(&svc.ready, it)
+	}
+	if len(svc.later) > 0 {
+		next = min(next, svc.later[0].due.Sub(now))
+	}
+	if len(svc.ready) == 0 {
+		return next
+	}
+	table := s.Table()
+	if table == nil {
+		return contact / 200
+	}
+	conf := table.Service(svc.name)
+	var aside []*item
+	blocked := 0
+	for len(svc.ready) > 0 {
+		it := heap.Pop(&svc.ready).(*item)
+		if it.ended {
+			continue
+		}
+		if table.Revision < it.record.Revision || !s.mayFly(it) {
+			aside = append(aside, it)
+			next = min(next, contact/400)
+			continue
+		}
+		route := table.Route(it.record.Host, it.record.Target)
+		if route == nil || it.record.Expires > 0 && it.record.Expires < now.UnixMilli() {
+			s.land(it)
+			s.Set.Finish(it.record.Partition, it.record.ID, partition.Dead, "")
+			s.close(it)
+			continue
+		}
+		if route.Service != svc.name {
+			s.land(it)
+			it.queued = false
+			s.enqueue(it)
+			next = 0
+			continue
+		}
+		if svc.paced = conf.RatePerS > 0; svc.paced && !s.token(svc, conf, now) {
+			s.land(it)
+			aside = append(aside, it)
+			next = min(next, time.Duration((1-svc.tokens)/conf.RatePerS*float64(time.Second)))
+			break
+		}
+		t, wait := s.choose(svc, conf, it, now)
+		if t == nil {
+			s.land(it)
+			if svc.paced {
+				svc.tokens++
+			}
+			aside = append(aside, it)
+			next = min(next, wait)
+			if blocked++; blocked > 4 {
+				break
+			}
+			continue
+		}
+		size := float64(len(it.record.Body))
+		if x := s.Bytes.Record(it.record.Tenant, route.Name, size); x > 0 {
+			// Over the tenant's limit: nothing goes out, its size is taken back,
+			// and it waits for the throttle time.
+			s.Bytes.Unrecord(it.record.Tenant, route.Name, size)
+			s.land(it)
+			if svc.paced {
+				svc.tokens++
+			}
+			it.due = now.Add(x)
+			heap.Push(&svc.later, it)
+			next = min(next, x)
+			continue
+		}
+		it.queued, it.running, it.last = false, true, t.ID
+		it.tries++
+		t.busy++
+		s.tasks.Go(func() { s.attempt(ctx, it, t, route) })
+	}
+	for _, it := range aside {
+		heap.Push(&svc.ready, it)
+	}
+	return next
+}
+
+// mayFly counts a delivery as under way if it may start; land counts it off.
+func (s *Scheduler) mayFly(it *item) bool {
+	s.fly(it.record.Partition, 1)
+	if s.Set.Leads(it.record.Partition) {
+		return true
+	}
+	s.fly(it.record.Partition, -1)
+	return false
+}
+
+func (s *Scheduler) land(it *item) { s.fly(it.record.Partition, -1) }
+
+// token takes one from the bucket that paces a service. A new one is empty.
+func (s *Scheduler) token(svc *service, conf *configuration.Service, now time.Time) bool {
+	// Half of what the ceiling allows beyond the rate is kept for arrivals
+	// that bunch on the way.
+	rate := conf.RatePerS * (1 + (s.Settings.Timers.OriginOvershoot-1)/4)
+	burst := max(1, conf.RatePerS/20)
+	svc.tokens = min(burst, svc.tokens+rate*now.Sub(svc.filled).Seconds())
+	svc.filled = now
+	if svc.tokens < 1 {
+		return false
+	}
+	svc.tokens--
+	return true
+}
+
+// choose finds the handler for an item: the least busy one, own zone first. If
+// there is none now, it tells how long to wait.
+func (s *Scheduler) choose(svc *service, conf *configuration.Service, it *item, now time.Time) (*target, time.Duration) {
+	contact := s.Settings.Contact()
+	list := s.targets[svc.name]
+	if conf.StaticEndpoint != "" {
+		if list == nil {
+			list = map[string]*target{}
+			s.targets[svc.name] = list
+		}
+		t := list[conf.StaticEndpoint]
+		if t == nil {
+			t = &target{Instance: handler.Instance{Address: conf.StaticEndpoint, Service: svc.name}, fixed: true}
+			t.Slots = max(1, int(conf.MaxConnections)*2/3)
+			list[conf.StaticEndpoint] = t
+		}
+	}
+	var best *target
+	bestScore := 0.0
+	wait := contact / 16
+	near := false
+	for _, t := range list {
+		if !t.fixed && t.Zone == s.Settings.Zone && !now.Before(t.shut) && !t.trial {
+			near = true
+		}
+	}
+	for _, t := range list {
+		if t.fixed != (conf.StaticEndpoint != "") {
+			continue
+		}
+		if now.Before(t.shut) {
+			wait = min(wait, t.shut.Sub(now))
+			continue
+		}
+		limit := max(1, t.Slots)
+		far := !t.fixed && t.Zone != s.Settings.Zone
+		if far && near {
+			limit = max(1, limit/2)
+		}
+		if t.trial {
+			limit = 1
+		}
+		if t.busy >= limit {
+			continue
+		}
+		score := float64(t.busy) / float64(limit)
+		if far {
+			if near && now.Sub(it.since) < contact/100 {
+				wait = min(wait, contact/100)
+				continue
+			}
+			score += 2
+			if s.Settings.Zones[t.Zone] != s.Settings.Region {
+				score++
+			}
+		}
+		if t.ID != "" && t.ID == it.last {
+			score += 4 // rather another than the one that failed
+		}
+		if now.Before(t.warm) {
+			score += 0.5
+		}
+		if t.trial {
+			score += 1
+		}
+		score += rand.Float64() / 8
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	return best, wait
+}
+
+// attempt makes one delivery and draws the consequences.
+func (s *Scheduler) attempt(ctx context.Context, it *item, t *target, route *configuration.Route) {
+	r := it.record
+	timeout := time.Duration(route.TimeoutMs) * time.Millisecond
+	began := time.Now()
+	// A delivery under way ends in its own time, even when the process stops.
+	res := handler.Deliver(context.WithoutCancel(ctx), s.Pool, handler.Delivery{
+		Address: t.Address, Instance: t.ID, ID: r.ID, Tenant: r.Tenant, OrderKey: r.OrderKey,
+		Method: r.Method, Target: r.Target, Host: r.Host, Type: r.Type, Body: r.Body, Timeout: timeout,
+	})
+	if res.Outcome != handler.Done && res.Outcome != handler.Refused && res.Outcome != handler.Failed {
+		s.Log.Printf("delivery: %s to %s: %v %d after %v: %v", r.ID, t.Address, res.Outcome, res.Status, time.Since(began).Round(time.Millisecond), res.Err)
+	}
+	dead := false
+	switch res.Outcome {
+	case handler.Done:
+		s.Set.Finish(r.Partition, r.ID, partition.Complete, res.Seal)
+	case handler.Refused:
+		dead = true
+	case handler.Failed:
+		dead = it.attempts+1 >= int(route.MaxAttempts)
+	}
+	if dead {
+		s.Set.Finish(r.Partition, r.ID, partition.Dead, "")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer s.nudge()
+	defer s.land(it)
+	now := time.Now()
+	t.busy--
+	it.running = false
+	s.judge(t, res.Outcome, began, now)
+	if it.ended {
+		return
+	}
+	if res.Outcome == handler.Done || dead {
+		s.close(it)
+		return
+	}
+	if res.Outcome == handler.Failed {
+		it.attempts++
+	}
+	it.due = now.Add(s.backoff(it, res.Outcome))
+	s.enqueue(it)
+}
+
+// judge keeps away from a handler that fails.
+func (s *Scheduler) judge(t *target, o handler.Outcome, began, now time.Time) {
+	contact := s.Settings.Contact()
+	shut := func(base time.Duration) {
+		t.failures++
+		d := min(contact/4, base<<min(t.failures-1, 6))
+		t.shut = now.Add(d*3/4 + rand.N(d/2))
+		t.trial = true
+	}
+	switch o {
+	case handler.Done, handler.Refused, handler.Failed:
+		t.failures, t.trial = 0, false
+	case handler.NotRun:
+		t.shut = now.Add(contact/200 + rand.N(contact/200)) // full for a moment
+	case handler.Wrong:
+		shut(contact / 4)
+	case handler.Silent:
+		shut(contact / 40)
+	case handler.Unclear:
+		if t.failures++; t.failures > 1 {
+			shut(contact / 80)
+		}
+	}
+}
+
+// backoff is the pause before an item is tried again.
+func (s *Scheduler) backoff(it *item, o handler.Outcome) time.Duration {
+	base := s.Settings.Contact() / 200
+	if o == handler.Failed || o == handler.Unclear || o == handler.Silent {
+		base <<= min(it.tries-1, 4)
+	}
+	return base/2 + rand.N(base)
+}
+
+// Pending tells how many messages wait here.
+func (s *Scheduler) Pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.parts {
+		n += len(p.items)
+	}
+	return n
+}
+
+type timeHeap []*item
+
+func (h timeHeap) Len() int           { return len(h) }
+func (h timeHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
+func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timeHeap) Push(x any)        { *h = append(*h, x.(*item)) }
+func (h *timeHeap) Pop() any          { return pop((*[]*item)(h)) }
+
+type readyHeap []*item
+
+func (h readyHeap) Len() int { return len(h) }
+func (h readyHeap) Less(i, j int) bool {
+	if h[i].priority != h[j].priority {
+		return h[i].priority < h[j].priority
+	}
+	return h[i].since.Before(h[j].since)
+}
+func (h readyHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *readyHeap) Push(x any)   { *h = append(*h, x.(*item)) }
+func (h *readyHeap) Pop() any     { return pop((*[]*item)(h)) }
+
+func pop(h *[]*item) *item {
+	old := *h
+	it := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/edge/forward.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/core"
+	"saltreel/internal/partition"
+	"saltreel/internal/ring"
+	"saltreel/internal/store"
+	"saltreel/internal/wire"
+)
+
+// Errors of a forward.
+var (
+	// errNotTaken: it is certain that no store took the message or ever will.
+	errNotTaken = errors.New("no store could take the message")
+	// errUnclear: a store may have taken it.
+	errUnclear = errors.New("no store answered in time")
+)
+
+// candidates are the partitions that may take a message, the nearest first.
+// Where only one may, it is alone in the list.
+func (e *Edge) candidates(p *core.Placement, route *configuration.Route, service *configuration.Service, r *partition.Record) []int {
+	n := len(p.Partitions)
+	if n == 0 {
+		return nil
+	}
+	if service != nil && service.RatePerS > 0 { // one node paces all of it
+		return []int{int(ring.Hash("service", service.Name) % uint64(n))}
+	}
+	if route.InOrder && r.OrderKey != "" {
+		return []int{int(ring.Hash("order", r.Tenant, r.OrderKey) % uint64(n))}
+	}
+	var out [4][]int
+	for i := range n {
+		at := (i + int(ring.Hash(r.ID)%uint64(n))) % n
+		s := p.Stores[p.Partitions[at].Primary]
+		switch {
+		case p.Partitions[at].Backup == "":
+			out[3] = append(out[3], at)
+		case s.Zone == e.set.Zone:
+			out[0] = append(out[0], at)
+		case s.Region == e.set.Region:
+			out[1] = append(out[1], at)
+		default:
+			out[2] = append(out[2], at)
+		}
+	}
+	return append(append(append(out[0], out[1]...), out[2]...), out[3]...)
+}
+
+// forward brings a message to two disks. It returns the partition that has it.
+func (e *Edge) forward(ctx context.Context, route *configuration.Route, service *configuration.Service, r *partition.Record, delay time.Duration, received time.Time) (int, error) {
+	contact := e.set.Contact()
+	fixed := -1 // once a store may have taken it, no other partition may
+	avoid := map[string]bool{}
+	var last error
+	for {
+		p := e.node.Placement()
+		if p == nil {
+			return 0, errNotTaken
+		}
+		moved := e.node.Moved()
+		at := fixed
+		if at < 0 {
+			list := e.candidates(p, route, service, r)
+			if len(list) == 0 {
+				return 0, errNotTaken
+			}
+			at = list[0]
+			for _, c := range list {
+				if !avoid[p.Partitions[c].Primary] {
+					at = c
+					break
+				}
+			}
+		}
+		primary := p.Partitions[at].Primary
+		addr := p.Stores[primary].Address
+		tctx, cancel := context.WithTimeout(ctx, contact/5)
+		left := delay - time.Since(received)
+		wait := contact / 6
+		if d, ok := ctx.Deadline(); ok {
+			wait = min(wait, time.Until(d))
+		}
+		err := e.node.Pool.Post(tctx, addr, "/accept", store.Accept{Partition: at, Message: *r, DelayMs: max(0, left.Milliseconds()+1), WaitMs: wait.Milliseconds()}, r.Body, nil)
+		cancel()
+		if err == nil {
+			return at, nil
+		}
+		last = err
+		code := wire.StatusOf(err)
+		if code == 421 || code == 503 || wire.NotSent(err) {
+			avoid[primary] = true
+			if wire.NotSent(err) {
+				e.node.Suspect(primary, wire.Refused(err))
+			}
+		} else {
+			fixed = at
+			if code == 0 {
+				e.node.Suspect(primary, false)
+			}
+		}
+		if len(avoid) >= len(p.Stores) {
+			clear(avoid)
+		}
+		pause := contact / 200
+		if fixed < 0 && len(avoid) > 0 && len(e.candidates(p, route, service, r)) > 1 {
+			pause = 0
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-moved:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			if fixed >= 0 {
+				return 0, fmt.Errorf("%w: %w", errUnclear, last)
+			}
+			return 0, fmt.Errorf("%w: %w", errNotTaken, last)
+		}
+	}
+}
+
+// ask brings a question about a message to the primary that has it.
+func (e *Edge) ask(ctx context.Context, path string, q store.Ask) (*wire.Answer, error) {
+	contact := e.set.Contact()
+	body := encode(q)
+	var last error
+	for {
+		p := e.node.Placement()
+		if p == nil || q.Partition < 0 || q.Partition >= len(p.Partitions) {
+			return nil, &wire.Status{Code: 404, Text: "no such message"}
+		}
+		moved := e.node.Moved()
+		primary := p.Partitions[q.Partition].Primary
+		addr := p.Stores[primary].Address
+		tctx, cancel := context.WithTimeout(ctx, contact/6)
+		a, err := e.node.Pool.Do(tctx, addr, &wire.Call{Method: "POST", Target: path, Host: addr, Body: body})
+		cancel()
+		switch {
+		case err == nil && (a.Status == 200 || a.Status == 404 || a.Status == 410):
+			return a, nil
+		case err != nil:
+			last = err
+			e.node.Suspect(primary, wire.Refused(err))
+		default:
+			last = &wire.Status{Code: a.Status, Text: string(a.Body)}
+		}
+		timer := time.NewTimer(contact / 80)
+		select {
+		case <-timer.C:
+		case <-moved:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return nil, last
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,212 @@
+// Package node owns what every process of the data plane does as a member of
+// the system: it follows the news, relays them, and beats to its watchers.
+package node
+
+import (
+	"context"
+	"log"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/core"
+	"saltreel/internal/journal"
+	"saltreel/internal/relay"
+	"saltreel/internal/ring"
+	"saltreel/internal/settings"
+	"saltreel/internal/wire"
+)
+
+// Node is this process among the others.
+type Node struct {
+	Settings *settings.Settings
+	Log      *log.Logger
+	Network  wire.Network
+	Pool     *wire.Pool // to our own processes
+	Journal  *journal.Journal
+	Self     relay.Node
+
+	follower *relay.Follower
+	table    atomic.Pointer[configuration.Table]
+	place    atomic.Pointer[core.Placement]
+
+	mu       sync.Mutex
+	cores    map[string]string // name to address
+	sequence int64
+	leaving  bool
+	told     map[string]time.Time // suspicions reported
+	moved    chan struct{}        // closed at the next placement
+	beatNow  chan struct{}
+}
+
+// watchers is how many watchers a node beats to.
+const watchers = 2
+
+// New makes a node that has heard nothing yet.
+func New(set *settings.Settings, role string, network wire.Network, logger *log.Logger) *Node {
+	life := time.Now().UnixNano()
+	n := &Node{
+		Settings: set, Log: logger, Network: network,
+		Pool:    &wire.Pool{Network: network, Repeat: true},
+		Journal: journal.New(set.NodeName+"/"+strconv.FormatInt(life, 36), 16*set.Contact()),
+		Self:    relay.Node{Name: set.NodeName, Role: role, Address: set.Internal(), Zone: set.Zone, Region: set.Region, Life: life},
+		cores:   map[string]string{}, told: map[string]time.Time{}, moved: make(chan struct{}), beatNow: make(chan struct{}, 1),
+	}
+	n.follower = &relay.Follower{Self: n.Self, Journal: n.Journal, Pool: n.Pool, Cores: set.Cores(), Contact: set.Contact(), Log: logger}
+	n.Journal.Fold(n.hear)
+	return n
+}
+
+func (n *Node) hear(e journal.Event) {
+	switch e.Key {
+	case relay.KeyConfiguration:
+		c, err := configuration.Parse(journal.Decode[[]byte](e))
+		if err != nil {
+			n.Log.Printf("news: revision %d: %v", e.Version.Major, err)
+			return
+		}
+		n.table.Store(configuration.NewTable(c))
+		n.Log.Printf("news: revision %d", c.Revision)
+	case relay.KeyPlacement:
+		p := journal.Decode[core.Placement](e)
+		n.place.Store(&p)
+		n.mu.Lock()
+		close(n.moved)
+		n.moved = make(chan struct{})
+		n.mu.Unlock()
+	default:
+		if len(e.Key) > len(relay.PrefixNode) && e.Key[:len(relay.PrefixNode)] == relay.PrefixNode {
+			name := e.Key[len(relay.PrefixNode):]
+			x := journal.Decode[relay.Node](e)
+			n.mu.Lock()
+			if e.Gone() {
+				delete(n.cores, name)
+			} else if x.Role == "core" {
+				n.cores[name] = x.Address
+			}
+			n.mu.Unlock()
+		}
+	}
+}
+
+// Table is the newest configuration heard; nil before the first.
+func (n *Node) Table() *configuration.Table { return n.table.Load() }
+
+// Placement is the newest placement heard; nil before the first.
+func (n *Node) Placement() *core.Placement { return n.place.Load() }
+
+// Moved is closed when the next placement is heard.
+func (n *Node) Moved() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.moved
+}
+
+// Source answers the nodes that follow this one.
+func (n *Node) Source() *relay.Source {
+	return &relay.Source{Journal: n.Journal, Wait: n.Settings.Contact() / 2, Fresh: n.follower.Fresh}
+}
+
+// Run follows and beats until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { n.follower.Run(ctx) })
+	tasks.Go(func() { n.beat(ctx) })
+	tasks.Wait()
+}
+
+// Reload takes over what may change while the process runs.
+func (n *Node) Reload(s *settings.Settings) { n.follower.Seeds(s.Cores()) }
+
+// Cores are the addresses of the cores known, or the seeds.
+func (n *Node) Cores() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for _, a := range n.cores {
+		out = append(out, a)
+	}
+	sort.Strings(out)
+	if len(out) == 0 {
+		return n.Settings.Cores()
+	}
+	return out
+}
+
+// Leave tells the watchers from the next beat on that this node is to end.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	select {
+	case n.beatNow <- struct{}{}:
+	default:
+	}
+}
+
+// beat sends heartbeats to the watchers on the ring of cores.
+func (n *Node) beat(ctx context.Context) {
+	every := n.Settings.Contact() / 8
+	if n.Self.Role == "store" {
+		every /= 2 // stores are missed sooner
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		n.mu.Lock()
+		n.sequence++
+		self := n.Self
+		self.Sequence, self.Leaving = n.sequence, n.leaving
+		n.mu.Unlock()
+		for _, w := range ring.Watchers(n.Self.Name, n.Cores(), watchers) {
+			go func() {
+				bctx, cancel := context.WithTimeout(ctx, every*2)
+				defer cancel()
+				_ = n.Pool.Post(bctx, w, "/beat", self, nil, nil)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.beatNow:
+		case <-tick.C:
+		}
+	}
+}
+
+// Suspect tells the cores that a node cannot be reached.
+func (n *Node) Suspect(name string, refused bool) {
+	n.mu.Lock()
+	recent := time.Since(n.told[name]) < n.Settings.Contact()/40
+	if !recent {
+		n.told[name] = time.Now()
+	}
+	n.mu.Unlock()
+	if recent {
+		return
+	}
+	for _, c := range n.Cores() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Contact()/8)
+			defer cancel()
+			_ = n.Pool.Post(ctx, c, "/suspect", core.Suspicion{Node: name, Refused: refused}, nil, nil)
+		}()
+	}
+}
+
+// Report tells the cores which partitions are in step; one answer is enough.
+func (n *Node) Report(ctx context.Context, in core.InStep) error {
+	var last error
+	for _, c := range n.Cores() {
+		cctx, cancel := context.WithTimeout(ctx, n.Settings.Contact()/8)
+		last = n.Pool.Post(cctx, c, "/in-step", in, nil, nil)
+		cancel()
+		if last == nil {
+			return nil
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/operator/serve.go
@@ -0,0 +1,46 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"time"
+
+	"saltreel/internal/core"
+	"saltreel/internal/settings"
+	"saltreel/internal/wire"
+)
+
+// Serve runs a core with the listener for handlers and the operator, until ctx
+// ends.
+func Serve(ctx context.Context, c *core.Core, set *settings.Settings, network wire.Network, logger *log.Logger) error {
+	l, err := network.Listen(set.Listeners.ControlPlane)
+	if err != nil {
+		return fmt.Errorf("listen for handlers and the operator: %w", err)
+	}
+	desk := &Desk{c}
+	s := &wire.Server{Log: logger, Handle: c.ServeControl(desk.Handle), Limits: func() wire.Limits {
+		return wire.Limits{HeaderBytes: 16 << 10, BodyBytes: MaxConfiguration, HeaderTimeout: set.Contact(), BodyTimeout: 2 * set.Contact(), IdleTimeout: 8 * set.Contact()}
+	}}
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	done := make(chan error, 1)
+	go func() { done <- c.Run(life) }()
+	go func() { _ = s.Serve(life, l) }()
+	logger.Printf("core: started")
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return err
+	}
+	stop, cancel := context.WithTimeout(context.Background(), settings.Seconds(set.Timers.GraceS)/8)
+	defer cancel()
+	s.Drain(stop)
+	end()
+	select {
+	case err = <-done:
+	case <-time.After(settings.Seconds(set.Timers.GraceS) / 4):
+	}
+	logger.Printf("core: ended")
+	return err
+}
--- /dev/null
+++ b/internal/partition/disk.go
@@ -0,0 +1,165 @@
+package partition
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"saltreel/internal/core"
+)
+
+var (
+	bucketRecords = []byte("records")
+	bucketMeta    = []byte("meta")
+)
+
+// disk is the file of a store. One writer groups all that waits into one
+// transaction.
+type disk struct {
+	db       *bbolt.DB
+	identity string
+
+	mu    sync.Mutex
+	queue []change
+	wake  chan struct{}
+}
+
+// change is one write; done is called when it is on disk.
+type change struct {
+	key, value []byte // a nil value deletes
+	meta       bool
+	done       func()
+}
+
+// openDisk opens the file in dir. A file that cannot be read is moved aside:
+// the copies on the other stores fill a new one.
+func openDisk(dir string, warn func(format string, args ...any)) (*disk, []*Record, Fence, error) {
+	path := filepath.Join(dir, "store.db")
+	d, records, fence, err := tryDisk(path)
+	if err == nil || errors.Is(err, os.ErrPermission) || errors.Is(err, bbolt.ErrTimeout) {
+		return d, records, fence, err
+	}
+	aside := path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
+	warn("disk: %s is damaged, moved to %s: %v", path, aside, err)
+	if err := os.Rename(path, aside); err != nil {
+		return nil, nil, nil, fmt.Errorf("move the damaged %s aside: %w", path, err)
+	}
+	return tryDisk(path)
+}
+
+// Fence is the newest epoch seen of each partition.
+type Fence map[int]int64
+
+func tryDisk(path string) (d *disk, records []*Record, fence Fence, err error) {
+	defer func() {
+		// bbolt panics on some kinds of damage.
+		if r := recover(); r != nil {
+			err = fmt.Errorf("read %s: %v", path, r)
+		}
+	}()
+	db, err := core.OpenDisk(path)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	d = &disk{db: db, wake: make(chan struct{}, 1)}
+	fence = Fence{}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucketRecords)
+		if err != nil {
+			return err
+		}
+		m, err := tx.CreateBucketIfNotExists(bucketMeta)
+		if err != nil {
+			return err
+		}
+		if id := m.Get([]byte("identity")); id != nil {
+			d.identity = string(id)
+		} else {
+			d.identity = rand.Text()
+			if err := m.Put([]byte("identity"), []byte(d.identity)); err != nil {
+				return err
+			}
+		}
+		if raw := m.Get([]byte("fence")); raw != nil {
+			if err := json.Unmarshal(raw, &fence); err != nil {
+				return err
+			}
+		}
+		return b.ForEach(func(k, v []byte) error {
+			r, err := decode(k, v)
+			if err == nil {
+				records = append(records, r)
+			}
+			return err
+		})
+	})
+	if err != nil {
+		db.Close()
+		return nil, nil, nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	return d, records, fence, nil
+}
+
+func (d *disk) put(c change) {
+	d.mu.Lock()
+	d.queue = append(d.queue, c)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes until ctx ends and nothing is left to write.
+func (d *disk) run(ctx context.Context) error {
+	for {
+		d.mu.Lock()
+		batch := d.queue
+		d.queue = nil
+		d.mu.Unlock()
+		if len(batch) == 0 {
+			select {
+			case <-d.wake:
+				continue
+			case <-ctx.Done():
+				return d.db.Close()
+			}
+		}
+		err := d.db.Update(func(tx *bbolt.Tx) error {
+			records, meta := tx.Bucket(bucketRecords), tx.Bucket(bucketMeta)
+			for _, c := range batch {
+				if c.key == nil {
+					continue
+				}
+				b := records
+				if c.meta {
+					b = meta
+				}
+				if c.value == nil {
+					if err := b.Delete(c.key); err != nil {
+						return err
+					}
+				} else if err := b.Put(c.key, c.value); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("write to disk: %w", err)
+		}
+		for _, c := range batch {
+			if c.done != nil {
+				c.done()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/partition/set.go
@@ -0,0 +1,470 @@
+package partition
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log"
+	"slices"
+	"sync"
+	"time"
+
+	"saltreel/internal/core"
+	"saltreel/internal/wire"
+)
+
+// Event tells the delivery what changed, in order.
+type Event struct {
+	Partition int
+	Lead      bool      // this store leads the partition from now on, with Records
+	Follow    bool      // it does not lead it any more
+	Records   []*Record // pending messages to deliver
+}
+
+// Set is the partitions of one store.
+type Set struct {
+	Self    string // name of this node
+	Pool    *wire.Pool
+	Contact time.Duration
+	Keep    time.Duration // how long an ended state is kept
+	Log     *log.Logger
+	Report  func(ctx context.Context, in core.InStep) error
+
+	disk   *disk
+	events chan struct{}
+
+	mu        sync.Mutex
+	placement core.Placement
+	parts     []*part
+	loaded    map[int][]*Record // read from disk before the placement is known
+	fence     Fence
+	queue     []Event
+	links     map[string]*link
+	ctx       context.Context
+	started   time.Time
+	tasks     sync.WaitGroup
+}
+
+// part is one partition on this store.
+type part struct {
+	number  int
+	epoch   int64
+	primary string
+	backup  string
+	inStep  bool // as the placement says
+
+	records  map[string]*Record
+	sequence int64
+	digest   uint64
+	count    int
+
+	// At the primary:
+	dirty    map[string]*Record   // not yet at the backup
+	waiting  map[string]*accepted // accepted here, not yet certain
+	paired   bool                 // the backup answered in this epoch
+	extra    []string             // older records that the backup lacks
+	lease    time.Time
+	compared time.Time
+	frozen   bool // no new deliveries
+	closed   bool // no new messages either
+	released bool // the backup took the lease back
+	verified bool // the backup was seen to hold the same in this epoch
+	moved    chan struct{}
+	reported time.Time
+
+	// At the backup:
+	granted time.Time // the primary may deliver until then
+}
+
+// accepted is a message on its way to two disks.
+type accepted struct {
+	record        *Record
+	local, remote bool
+	done          chan struct{}
+}
+
+// Lease is how long a primary may deliver after its backup has answered.
+func (s *Set) Lease() time.Duration { return s.Contact * 3 / 20 }
+
+// Open reads the disk.
+func (s *Set) Open(dir string) error {
+	d, records, fence, err := openDisk(dir, s.Log.Printf)
+	if err != nil {
+		return err
+	}
+	s.disk, s.fence = d, fence
+	s.events = make(chan struct{}, 1)
+	s.links = map[string]*link{}
+	s.loaded = map[int][]*Record{}
+	for _, r := range records {
+		s.loaded[r.Partition] = append(s.loaded[r.Partition], r)
+	}
+	s.started = time.Now()
+	return nil
+}
+
+// Identity names the disk.
+func (s *Set) Identity() string { return s.disk.identity }
+
+// Run writes, replicates and sweeps until ctx ends.
+func (s *Set) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	s.tasks.Go(func() { s.sweep(ctx) })
+	err := s.disk.run(ctx)
+	s.tasks.Wait()
+	return err
+}
+
+// Events gives the events since the last call, and a channel that tells when
+// there may be more.
+func (s *Set) Events() ([]Event, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.queue
+	s.queue = nil
+	return out, s.events
+}
+
+func (s *Set) emit(e Event) {
+	s.queue = append(s.queue, e)
+	select {
+	case s.events <- struct{}{}:
+	default:
+	}
+}
+
+func (p *part) put(r *Record) {
+	if old := p.records[r.ID]; old != nil {
+		p.digest ^= old.mark()
+		p.count--
+	}
+	p.sequence = max(p.sequence, r.Sequence)
+	if r.State == Forgotten {
+		delete(p.records, r.ID)
+		return
+	}
+	p.records[r.ID] = r
+	p.digest ^= r.mark()
+	p.count++
+}
+
+// write puts a record on disk. The lock is held.
+func (s *Set) write(p *part, r *Record, done func()) {
+	c := change{key: key(p.number, r.ID), done: done}
+	if r.State != Forgotten {
+		c.value = r.encode()
+	}
+	s.disk.put(c)
+}
+
+// change makes a change as the primary: it gets the next sequence number and
+// goes to the disk and the backup. The lock is held.
+func (s *Set) change(p *part, r *Record, done func()) {
+	p.sequence++
+	r.Sequence, r.Epoch, r.Length = p.sequence, p.epoch, len(r.Body)
+	p.put(r)
+	if p.backup != "" {
+		p.dirty[r.ID] = r
+	}
+	s.write(p, r, done)
+	s.wakeLink(p.backup)
+}
+
+// Place takes a new placement over.
+func (s *Set) Place(next core.Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next.Version <= s.placement.Version {
+		return
+	}
+	s.placement = next
+	mine := next.Stores[s.Self].Disk == s.disk.identity
+	for i, x := range next.Partitions {
+		if i >= len(s.parts) {
+			p := &part{number: i, records: map[string]*Record{}, dirty: map[string]*Record{}, waiting: map[string]*accepted{},
+				moved: make(chan struct{}), granted: s.started.Add(s.Lease()), epoch: s.fence[i]}
+			for _, r := range s.loaded[i] {
+				p.put(r)
+			}
+			delete(s.loaded, i)
+			s.parts = append(s.parts, p)
+		}
+		p := s.parts[i]
+		if x.Epoch < p.epoch || x.Epoch == p.epoch && p.primary != "" {
+			if x.Epoch == p.epoch {
+				p.inStep = x.InStep
+			}
+			continue
+		}
+		if !mine {
+			x.Primary, x.Backup = "", ""
+		}
+		s.turn(p, x)
+	}
+	for _, l := range s.links {
+		l.nudge()
+	}
+}
+
+// turn changes the roles of a partition. The lock is held.
+func (s *Set) turn(p *part, x core.Partition) {
+	led := p.primary == s.Self
+	p.epoch, p.primary, p.backup, p.inStep = x.Epoch, x.Primary, x.Backup, x.InStep
+	p.paired, p.extra, p.compared, p.reported = false, nil, time.Time{}, time.Time{}
+	p.frozen, p.closed, p.released, p.verified = false, false, false, false
+	s.fence[p.number] = p.epoch
+	s.disk.put(change{key: []byte("fence"), value: encodeFence(s.fence), meta: true})
+	close(p.moved)
+	p.moved = make(chan struct{})
+	leads := p.primary == s.Self
+	switch {
+	case leads && !led:
+		p.lease = time.Time{}
+		p.dirty = map[string]*Record{}
+		var pending []*Record
+		for _, r := range p.records {
+			if r.State == Pending {
+				pending = append(pending, r)
+			}
+		}
+		slices.SortFunc(pending, func(a, b *Record) int { return cmp.Compare(a.Order, b.Order) })
+		s.emit(Event{Partition: p.number, Lead: true, Records: pending})
+	case leads: // a new backup: what was not certain goes to it
+		p.dirty = map[string]*Record{}
+		for id, w := range p.waiting {
+			w.remote = false
+			p.dirty[id] = p.records[id]
+		}
+	case led:
+		p.granted = time.Time{}
+		for id := range p.waiting {
+			delete(p.waiting, id) // those who wait learn of it by the move
+		}
+		p.dirty = map[string]*Record{}
+		s.emit(Event{Partition: p.number, Follow: true})
+	}
+	if leads && p.backup != "" {
+		s.startLink(p.backup)
+	}
+}
+
+// errors of an accept.
+func moved(n int) error {
+	return &wire.Status{Code: 421, Text: fmt.Sprintf("partition %d is not led here", n)}
+}
+
+// unclear is the answer when a message may have been taken.
+func unclear(n int) error {
+	return &wire.Status{Code: 504, Text: fmt.Sprintf("partition %d: no second store answered in time", n)}
+}
+
+// Accept takes a message: it returns nil once two disks hold it. After a 421
+// or a 503 it is certain that it was not taken; any other error is unclear.
+func (s *Set) Accept(ctx context.Context, n int, r *Record) error {
+	logged := false
+	for {
+		s.mu.Lock()
+		if n < 0 || n >= len(s.parts) || s.parts[n].primary != s.Self {
+			s.mu.Unlock()
+			if logged {
+				return unclear(n)
+			}
+			return moved(n)
+		}
+		p := s.parts[n]
+		gone := p.moved
+		if p.closed && p.records[r.ID] == nil {
+			s.mu.Unlock()
+			select {
+			case <-gone:
+				continue
+			case <-ctx.Done():
+				if logged {
+					return unclear(n)
+				}
+				return moved(n)
+			}
+		}
+		w := p.waiting[r.ID]
+		if p.records[r.ID] != nil && w == nil { // taken before
+			certain := p.verified
+			s.mu.Unlock()
+			if certain {
+				return nil
+			}
+			logged = true
+			select { // until the backup is seen to hold it too
+			case <-time.After(s.Contact / 200):
+				continue
+			case <-ctx.Done():
+				return unclear(n)
+			}
+		}
+		if w == nil {
+			if p.backup == "" {
+				s.mu.Unlock()
+				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has no second store", n)}
+			}
+			r.Partition = n
+			r.Order = p.sequence + 1
+			w = &accepted{record: r, done: make(chan struct{})}
+			p.waiting[r.ID] = w
+			s.change(p, r, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				w.local = true
+				s.settle(p, w)
+			})
+		}
+		logged = true
+		s.mu.Unlock()
+		select {
+		case <-w.done:
+			return nil
+		case <-gone:
+			// The same message may be in the new epoch: look again.
+		case <-ctx.Done():
+			return unclear(n)
+		}
+	}
+}
+
+// settle ends the wait of a message that two disks hold. The lock is held.
+func (s *Set) settle(p *part, w *accepted) {
+	if !w.local || !w.remote || p.waiting[w.record.ID] != w {
+		return
+	}
+	delete(p.waiting, w.record.ID)
+	close(w.done)
+	if r := p.records[w.record.ID]; r != nil && r.State == Pending {
+		s.emit(Event{Partition: p.number, Records: []*Record{r}})
+	}
+}
+
+// Finish writes how a message ended.
+func (s *Set) Finish(n int, id string, state State, seal string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.parts[n]
+	r := p.records[id]
+	if r == nil || r.State != Pending {
+		return
+	}
+	end := r.ended(state, seal, time.Now().Add(s.Keep).UnixMilli())
+	if p.primary == s.Self {
+		s.change(p, end, nil)
+		return
+	}
+	// Not the primary any more: what is known is kept and told when asked.
+	p.sequence++
+	end.Sequence, end.Epoch = p.sequence, r.Epoch
+	p.put(end)
+	s.write(p, end, nil)
+}
+
+// Leads tells whether this store may start deliveries of a partition now.
+func (s *Set) Leads(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n >= len(s.parts) {
+		return false
+	}
+	p := s.parts[n]
+	now := time.Now()
+	if p.primary != s.Self || p.frozen || now.Before(p.granted) {
+		return false
+	}
+	return p.backup == "" || now.Before(p.lease)
+}
+
+// Find gives the record of a message at its primary.
+func (s *Set) Find(ctx context.Context, n int, id string) (*Record, error) {
+	s.mu.Lock()
+	if n < 0 || n >= len(s.parts) || s.parts[n].primary != s.Self {
+		s.mu.Unlock()
+		return nil, moved(n)
+	}
+	p := s.parts[n]
+	r, backup := p.records[id], p.backup
+	s.mu.Unlock()
+	if r == nil && backup != "" {
+		// A read mends: the other copy may hold what this one lacks.
+		if err := s.fetch(ctx, n, []string{id}); err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		r = p.records[id]
+		s.mu.Unlock()
+	}
+	if r == nil {
+		return nil, &wire.Status{Code: 404, Text: "no such message"}
+	}
+	return r, nil
+}
+
+// sweep forgets what is past its time.
+func (s *Set) sweep(ctx context.Context) {
+	tick := time.NewTicker(s.Contact)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now().UnixMilli()
+		s.mu.Lock()
+		for _, p := range s.parts {
+			if p.primary != s.Self {
+				continue
+			}
+			for _, r := range p.records {
+				if r.State != Pending && r.Expires < now {
+					s.change(p, &Record{ID: r.ID, Partition: p.number, State: Forgotten}, nil)
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Count tells how many records there are and how many of them are pending.
+func (s *Set) Count() (all, pending int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.parts {
+		for _, r := range p.records {
+			all++
+			if r.State == Pending {
+				pending++
+			}
+		}
+	}
+	return all, pending
+}
+
+// Holds tells whether the placement gives this store any partition.
+func (s *Set) Holds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.placement.Partitions {
+		if x.Primary == s.Self || x.Backup == s.Self {
+			return true
+		}
+	}
+	return false
+}
+
+// LeadsAny tells whether this store leads any partition.
+func (s *Set) LeadsAny() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.parts {
+		if p.primary == s.Self {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,230 @@
+// Package relay owns the news: the tree that the nodes form among themselves
+// and the long polls by which a journal follows the one of its parent.
+package relay
+
+import (
+	"context"
+	"log"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"saltreel/internal/journal"
+	"saltreel/internal/ring"
+	"saltreel/internal/wire"
+)
+
+// Keys of the news.
+const (
+	KeyConfiguration = "configuration"
+	KeyPlacement     = "placement"
+	PrefixInstance   = "instance/"
+	PrefixNode       = "node/"
+)
+
+// Node is one of the system's own processes, as it tells of itself.
+type Node struct {
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Address  string `json:"address"` // internal
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	Life     int64  `json:"life"` // differs for each start
+	Leaving  bool   `json:"leaving,omitempty"`
+	Sequence int64  `json:"sequence"`
+	Disk     string `json:"disk,omitempty"` // identity of the disk, for a store
+}
+
+// Poll is a question for news.
+type Poll struct {
+	Source string `json:"source"`
+	Number uint64 `json:"number"`
+	WaitMs int64  `json:"wait-ms"`
+}
+
+// Source answers polls from a journal.
+type Source struct {
+	Journal *journal.Journal
+	Fresh   func() bool // whether this node hears the news itself
+	Wait    time.Duration
+}
+
+// Handle answers one poll; it waits until there is something to tell.
+func (s *Source) Handle(ctx context.Context, in *Poll, _ []byte) (*journal.Page, error) {
+	wait := min(time.Duration(in.WaitMs)*time.Millisecond, s.Wait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if s.Fresh != nil && !s.Fresh() {
+			return nil, &wire.Status{Code: 503, Text: "this node hears no news itself"}
+		}
+		page, changed := s.Journal.Since(in.Source, in.Number)
+		if len(page.Events) > 0 || page.Source != in.Source {
+			return &page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &page, nil
+		case <-ctx.Done():
+			return nil, &wire.Status{Code: 503, Text: "stopping"}
+		}
+	}
+}
+
+// Follower keeps a journal up to date from a parent.
+type Follower struct {
+	Self    Node
+	Journal *journal.Journal
+	Pool    *wire.Pool
+	Cores   []string // internal addresses, the last resort
+	Contact time.Duration
+	Log     *log.Logger
+
+	mu    sync.Mutex
+	nodes map[string]Node
+	heard time.Time
+}
+
+// Seeds replaces the addresses of last resort.
+func (f *Follower) Seeds(cores []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Cores = cores
+}
+
+// fanout is how many children a relay has.
+const fanout = 3
+
+// Fresh tells whether a parent was heard lately.
+func (f *Follower) Fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.heard.IsZero() && time.Since(f.heard) < f.Contact*5/8
+}
+
+// Parents orders the addresses to ask: the parent in the tree of the zone,
+// then the cores, the nearest one first.
+func (f *Follower) Parents() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var zone []Node
+	var near, far []string
+	known := map[string]bool{}
+	for _, n := range f.nodes {
+		if n.Role == "core" {
+			known[n.Address] = true
+			if n.Zone == f.Self.Zone {
+				near = append(near, n.Address)
+			} else {
+				far = append(far, n.Address)
+			}
+		} else if n.Zone == f.Self.Zone && n.Name != f.Self.Name && !n.Leaving {
+			zone = append(zone, n)
+		}
+	}
+	sort.Strings(far)
+	for _, c := range f.Cores {
+		if !known[c] {
+			far = append(far, c)
+		}
+	}
+	if len(far) > 1 {
+		k := int(ring.Hash(f.Self.Name) % uint64(len(far)))
+		far = append(far[k:len(far):len(far)], far[:k]...)
+	}
+	cores := append(near, far...)
+	// Stores sit at the top of the zone's tree: they need the news first.
+	place := func(n Node) (int, string) {
+		if n.Role == "store" {
+			return 0, n.Name
+		}
+		return 1, n.Name
+	}
+	zone = append(zone, f.Self)
+	sort.Slice(zone, func(i, j int) bool {
+		ri, ni := place(zone[i])
+		rj, nj := place(zone[j])
+		return ri < rj || ri == rj && ni < nj
+	})
+	for i, n := range zone {
+		if n.Name == f.Self.Name && i > 0 {
+			return append([]string{zone[(i-1)/fanout].Address}, cores...)
+		}
+	}
+	return cores
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.nodes = map[string]Node{}
+	f.mu.Unlock()
+	f.Journal.Fold(func(e journal.Event) {
+		if name, ok := cutPrefix(e.Key, PrefixNode); ok {
+			f.mu.Lock()
+			if e.Gone() {
+				delete(f.nodes, name)
+			} else {
+				f.nodes[name] = journal.Decode[Node](e)
+			}
+			f.mu.Unlock()
+		}
+	})
+	wait := f.Contact / 4
+	var current string
+	at := map[string]journal.Page{}
+	bad := map[string]time.Time{}
+	for ctx.Err() == nil {
+		target := ""
+		for _, p := range f.Parents() {
+			if time.Since(bad[p]) > f.Contact/2 {
+				target = p
+				break
+			}
+		}
+		if target == "" {
+			clear(bad)
+			pause(ctx, f.Contact/80+rand.N(f.Contact/80))
+			continue
+		}
+		if target != current {
+			current = target
+			f.Log.Printf("relay: following %s", target)
+		}
+		cctx, cancel := context.WithTimeout(ctx, wait+f.Contact/8)
+		page := journal.Page{}
+		last := at[target]
+		err := f.Pool.Post(cctx, target, "/news", Poll{last.Source, last.Number, wait.Milliseconds()}, nil, &page)
+		cancel()
+		if err != nil {
+			if ctx.Err() == nil {
+				f.Log.Printf("relay: parent lost: %v", err)
+			}
+			bad[target] = time.Now()
+			continue
+		}
+		f.Journal.Load(page)
+		at = map[string]journal.Page{target: {Source: page.Source, Number: page.Number}}
+		f.mu.Lock()
+		f.heard = time.Now()
+		f.mu.Unlock()
+	}
+}
+
+func cutPrefix(s, prefix string) (string, bool) {
+	if len(s) > len(prefix) && s[:len(prefix)] == prefix {
+		return s[len(prefix):], true
+	}
+	return "", false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/store/meter.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/wire"
+)
+
+// meters count the accepted messages of tenants over all nodes. The meter of a
+// tenant runs where the partition of its name is led; edges ask it for grants.
+type meters struct {
+	leads func(n int) bool
+	table func() *configuration.Table
+
+	mu      sync.Mutex
+	tenants map[string]*meter
+}
+
+// meter is a token bucket.
+type meter struct {
+	tokens float64
+	filled time.Time
+}
+
+// Grant asks for grants by tenant.
+type Grant struct {
+	Partitions int                `json:"partitions"`
+	Want       map[string]float64 `json:"want"`
+}
+
+// Granted gives them, and tells how long to wait for the next where nothing is left.
+type Granted struct {
+	Given  map[string]float64 `json:"given"`
+	WaitMs map[string]int64   `json:"wait,omitempty"`
+}
+
+func (m *meters) handle(_ context.Context, in *Grant, _ []byte) (*Granted, error) {
+	t := m.table()
+	if t == nil || in.Partitions <= 0 {
+		return nil, &wire.Status{Code: 503, Text: "no configuration is known here"}
+	}
+	out := &Granted{Given: map[string]float64{}, WaitMs: map[string]int64{}}
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, want := range in.Want {
+		tenant := t.Tenant(name)
+		if tenant == nil {
+			continue
+		}
+		if !m.leads(MeterPartition(name, in.Partitions)) {
+			delete(m.tenants, name)
+			return nil, &wire.Status{Code: 421, Text: "the meter of " + name + " is not here"}
+		}
+		if tenant.RatePerS <= 0 {
+			out.Given[name] = want
+			continue
+		}
+		x := m.tenants[name]
+		if x == nil { // a new meter starts without burst: an earlier one may have spent it
+			x = &meter{filled: now}
+			m.tenants[name] = x
+		}
+		x.tokens = min(math.Max(1, tenant.BurstSize), x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds())
+		x.filled = now
+		give := min(math.Floor(x.tokens), math.Ceil(want))
+		x.tokens -= give
+		out.Given[name] = give
+		if give < want {
+			out.WaitMs[name] = int64(1000 * (1 - x.tokens + 1) / tenant.RatePerS)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,229 @@
+// Package store owns the role of a storage machine, and what other processes
+// say to it.
+package store
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/core"
+	"saltreel/internal/delivery"
+	"saltreel/internal/journal"
+	"saltreel/internal/node"
+	"saltreel/internal/partition"
+	"saltreel/internal/quota"
+	"saltreel/internal/relay"
+	"saltreel/internal/ring"
+	"saltreel/internal/settings"
+	"saltreel/internal/wire"
+)
+
+// Store is one storage machine's process.
+type Store struct {
+	set     *settings.Settings
+	log     *log.Logger
+	network wire.Network
+	node    *node.Node
+	parts   *partition.Set
+	deliver *delivery.Scheduler
+	bytes   *quota.Manager
+	meters  *meters
+}
+
+// New opens the disk and makes the process.
+func New(set *settings.Settings, network wire.Network, logger *log.Logger) (*Store, error) {
+	s := &Store{set: set, log: logger, network: network, node: node.New(set, "store", network, logger)}
+	s.parts = &partition.Set{
+		Self: set.NodeName, Pool: s.node.Pool, Contact: set.Contact(), Log: logger,
+		Keep: settings.Seconds(set.Timers.StatusTtlS), Report: s.node.Report,
+	}
+	if err := s.parts.Open(set.DataPath); err != nil {
+		return nil, err
+	}
+	s.node.Self.Disk = s.parts.Identity()
+	s.bytes = quota.NewManager(quota.DeliveryBytes)
+	s.deliver = &delivery.Scheduler{
+		Set: s.parts, Settings: set, Log: logger, Table: s.node.Table, Bytes: s.bytes,
+		Pool: &wire.Pool{Network: network},
+	}
+	s.deliver.Init()
+	s.meters = &meters{leads: s.parts.Leads, table: s.node.Table, tenants: map[string]*meter{}}
+	s.node.Journal.Fold(s.hear)
+	return s, nil
+}
+
+func (s *Store) hear(e journal.Event) {
+	switch e.Key {
+	case relay.KeyPlacement:
+		s.parts.Place(journal.Decode[core.Placement](e))
+	case relay.KeyConfiguration:
+		if t := s.node.Table(); t != nil {
+			s.bytes.Replace(ByteLimits(t))
+		}
+	}
+	s.deliver.Hear(e)
+}
+
+// ByteLimits are the bounds of bytes: what a tenant's rate allows in messages
+// of the largest size.
+func ByteLimits(t *configuration.Table) map[quota.Entity]float64 {
+	out := map[quota.Entity]float64{}
+	for _, x := range t.TenantTable {
+		if x.RatePerS > 0 && t.Limits.GetMaxBodyBytes() > 0 {
+			out[quota.Entity{Tenant: x.Name}] = x.RatePerS * float64(t.Limits.MaxBodyBytes)
+		}
+	}
+	return out
+}
+
+// Run serves until ctx ends, hands its partitions over, and returns.
+func (s *Store) Run(ctx context.Context) error {
+	l, err := s.network.Listen(s.set.Internal())
+	if err != nil {
+		return fmt.Errorf("listen for our own processes: %w", err)
+	}
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	source := s.node.Source()
+	mux := wire.Mux{
+		"/news":     wire.Method(source.Handle),
+		"/ping":     wire.Method(core.Ping),
+		"/copy":     wire.Method(s.parts.HandleCopy),
+		"/digest":   wire.Method(s.parts.HandleDigest),
+		"/fetch":    s.parts.HandleFetch,
+		"/accept":   wire.Method(s.handleAccept),
+		"/status":   wire.Method(s.handleStatus),
+		"/body":     s.handleBody,
+		"/grant":    wire.Method(s.meters.handle),
+		"/handover": wire.Method(s.handleHandover),
+	}
+	server := &wire.Server{Handle: mux.Handle, Log: s.log}
+	var tasks sync.WaitGroup
+	deliveries, stopDeliveries := context.WithCancel(life)
+	tasks.Go(func() { _ = server.Serve(life, l) })
+	tasks.Go(func() { s.node.Run(life) })
+	tasks.Go(func() { s.deliver.Run(deliveries) })
+	tasks.Go(func() { s.bytes.Reap(life) })
+	failed := make(chan error, 1)
+	tasks.Go(func() { failed <- s.parts.Run(life) })
+	s.log.Printf("store: started, disk %s", s.parts.Identity())
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		stopDeliveries()
+		end()
+		return err
+	}
+	// Leave in order: the steward hands every partition to another store.
+	s.node.Leave()
+	grace := settings.Seconds(s.set.Timers.GraceS)
+	deadline := time.Now().Add(grace * 3 / 4)
+	for s.parts.Holds() && time.Now().Before(deadline) {
+		time.Sleep(s.set.Contact() / 200)
+	}
+	all, pending := s.parts.Count()
+	s.log.Printf("store: stopping, holds partitions: %v, %d records, %d pending", s.parts.Holds(), all, pending)
+	stopDeliveries()
+	stop, cancel := context.WithTimeout(context.Background(), grace/16)
+	defer cancel()
+	server.Drain(stop)
+	end()
+	tasks.Wait()
+	return <-failed
+}
+
+// Accept hands a message to the primary of its partition; the body stands
+// behind it.
+type Accept struct {
+	Partition int              `json:"partition"`
+	Message   partition.Record `json:"message"`
+	DelayMs   int64            `json:"delay,omitempty"`
+	WaitMs    int64            `json:"wait"` // how long the edge waits
+}
+
+// Accepted says that two disks hold the message.
+type Accepted struct{}
+
+func (s *Store) handleAccept(ctx context.Context, in *Accept, raw []byte) (*Accepted, error) {
+	r := in.Message
+	now := time.Now()
+	r.Body = raw
+	r.Due = now.UnixMilli() + in.DelayMs
+	if t := s.node.Table(); t != nil {
+		if route := t.Route(r.Host, r.Target); route != nil && route.RetentionS > 0 {
+			// The client sent it a little earlier; it is kept a little longer.
+			r.Expires = now.Add(settings.Seconds(route.RetentionS)).UnixMilli()
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
+	defer cancel()
+	return &Accepted{}, s.parts.Accept(ctx, in.Partition, &r)
+}
+
+// Ask asks for a message of a tenant.
+type Ask struct {
+	Partition int    `json:"partition"`
+	ID        string `json:"id"`
+	Tenant    string `json:"tenant"`
+	Host      string `json:"host"`
+}
+
+// Status tells how far it is.
+type Status struct {
+	State partition.State `json:"state"`
+	Seal  string          `json:"seal,omitempty"`
+}
+
+func (s *Store) find(ctx context.Context, in *Ask) (*partition.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Contact()/4)
+	defer cancel()
+	r, err := s.parts.Find(ctx, in.Partition, in.ID)
+	if err != nil {
+		return nil, err
+	}
+	if r.Tenant != in.Tenant {
+		return nil, &wire.Status{Code: 404, Text: "no such message"}
+	}
+	return r, nil
+}
+
+func (s *Store) handleStatus(ctx context.Context, in *Ask, _ []byte) (*Status, error) {
+	r, err := s.find(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	return &Status{r.State, r.Seal}, nil
+}
+
+func (s *Store) handleBody(ctx context.Context, r *wire.Request) *wire.Response {
+	var rec *partition.Record
+	res := wire.Method(func(ctx context.Context, in *Ask, _ []byte) (_ *struct{}, err error) {
+		rec, err = s.find(ctx, in)
+		return &struct{}{}, err
+	})(ctx, r)
+	if rec == nil {
+		return res
+	}
+	if rec.State == partition.Complete {
+		return wire.Problem(410, "the message is complete; its body is gone")
+	}
+	return &wire.Response{Status: 200, Body: rec.Body}
+}
+
+func (s *Store) handleHandover(ctx context.Context, in *core.Handover, _ []byte) (*core.Handover, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.set.Contact()*3/4)
+	defer cancel()
+	return &core.Handover{Partitions: s.parts.Freeze(ctx, in.Partitions, s.deliver.Idle)}, nil
+}
+
+// MeterPartition is the partition whose primary meters a tenant.
+func MeterPartition(tenant string, partitions int) int {
+	return int(ring.Hash("meter", tenant) % uint64(partitions))
+}
+
+// Reload takes over what may change while the process runs.
+func (s *Store) Reload(set *settings.Settings) { s.node.Reload(set) }
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,347 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// Listen opens a listener.
+type Listen func(addr string) (net.Listener, error)
+
+// Network is how a process reaches others and is reached.
+type Network struct {
+	Dial   Dial
+	Listen Listen
+}
+
+// TCP is the ordinary network.
+func TCP() Network {
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}}
+	return Network{
+		Dial:   func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		Listen: func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) },
+	}
+}
+
+// Call is a request to send.
+type Call struct {
+	Method, Target, Host string
+	Header               []string // names and values in turn
+	Body                 []byte
+}
+
+// Answer is a response, its body read.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error tells at which step and at which peer a call failed.
+type Error struct {
+	Step, Peer string
+	Sent       bool // whether any byte of the request may have arrived
+	Err        error
+}
+
+func (e *Error) Error() string { return e.Step + " " + e.Peer + ": " + e.Err.Error() }
+func (e *Error) Unwrap() error { return e.Err }
+
+// NotSent tells whether it is certain that the peer got nothing of the call.
+func NotSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && !e.Sent
+}
+
+// Refused tells whether the peer's machine answered that no process listens.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Pool keeps connections to peers open between calls.
+type Pool struct {
+	Network Network
+	MaxIdle int           // idle connections kept for one peer
+	Expire  time.Duration // an idle connection older than this is not used; 0: as the peer's Keep-Alive says
+	Repeat  bool          // calls may be sent twice: try again once when a kept connection breaks
+
+	mu   sync.Mutex
+	idle map[string][]*clientConn
+	open map[string]int
+}
+
+type clientConn struct {
+	net.Conn
+	br    *bufio.Reader
+	until time.Time
+	used  bool
+}
+
+func (p *Pool) take(addr string) *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		list := p.idle[addr]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		if c.until.IsZero() || time.Now().Before(c.until) {
+			return c
+		}
+		p.open[addr]--
+		c.Close()
+	}
+}
+
+func (p *Pool) give(addr string, c *clientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	max := p.MaxIdle
+	if max == 0 {
+		max = 8
+	}
+	if p.idle == nil {
+		p.idle = map[string][]*clientConn{}
+	}
+	if len(p.idle[addr]) >= max {
+		p.open[addr]--
+		c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+func (p *Pool) count(addr string, by int) {
+	p.mu.Lock()
+	if p.open == nil {
+		p.open = map[string]int{}
+	}
+	if p.open[addr] += by; p.open[addr] == 0 {
+		delete(p.open, addr)
+	}
+	p.mu.Unlock()
+}
+
+// Open tells how many connections to the peer there are.
+func (p *Pool) Open(addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[addr]
+}
+
+// Forget closes the idle connections to a peer.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		c.Close()
+		p.open[addr]--
+	}
+	delete(p.idle, addr)
+}
+
+// Do sends a call and reads the whole answer. The context must end.
+func (p *Pool) Do(ctx context.Context, addr string, call *Call) (*Answer, error) {
+	sent := false
+	for {
+		c := p.take(addr)
+		if c == nil {
+			nc, err := p.Network.Dial(ctx, addr)
+			if err != nil {
+				return nil, &Error{"dial", addr, sent, err}
+			}
+			c = &clientConn{Conn: nc, br: bufio.NewReaderSize(nc, 4096)}
+			p.count(addr, 1)
+		}
+		a, began, err := c.do(ctx, call)
+		if err == nil {
+			if keep(a, c, p.Expire) {
+				p.give(addr, c)
+			} else {
+				p.count(addr, -1)
+				c.Close()
+			}
+			return a, nil
+		}
+		p.count(addr, -1)
+		c.Close()
+		sent = true
+		if c.used && p.Repeat && !began && ctx.Err() == nil {
+			continue
+		}
+		var e *Error
+		if errors.As(err, &e) {
+			e.Peer = addr
+		}
+		return nil, err
+	}
+}
+
+// keep decides whether a connection may serve another call.
+func keep(a *Answer, c *clientConn, expire time.Duration) bool {
+	if strings.EqualFold(a.Header.Get("Connection"), "close") || c.br.Buffered() > 0 {
+		return false
+	}
+	c.used = true
+	c.until = time.Time{}
+	if expire > 0 {
+		c.until = time.Now().Add(expire)
+	}
+	for _, part := range strings.Split(a.Header.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if s, err := strconv.ParseFloat(v, 64); err == nil {
+				c.until = time.Now().Add(time.Duration(s * 0.8 * float64(time.Second)))
+			}
+		}
+	}
+	return c.SetDeadline(time.Time{}) == nil
+}
+
+func (c *clientConn) do(ctx context.Context, call *Call) (a *Answer, began bool, err error) {
+	if d, ok := ctx.Deadline(); ok {
+		c.SetDeadline(d)
+	}
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	buf := make([]byte, 0, 512+len(call.Body))
+	buf = append(buf, call.Method+" "+call.Target+" HTTP/1.1\r\nHost: "+call.Host+"\r\n"...)
+	for i := 0; i+1 < len(call.Header); i += 2 {
+		buf = append(buf, call.Header[i]+": "+call.Header[i+1]+"\r\n"...)
+	}
+	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodDelete {
+		buf = append(buf, "Content-Length: "+strconv.Itoa(len(call.Body))+"\r\n"...)
+	}
+	buf = append(buf, "\r\n"...)
+	buf = append(buf, call.Body...)
+	if _, err := c.Write(buf); err != nil {
+		return nil, false, &Error{"write", "", true, err}
+	}
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, false, &Error{"wait", "", true, err}
+	}
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
+	for err == nil && resp.StatusCode < 200 {
+		resp, err = http.ReadResponse(c.br, &http.Request{Method: call.Method})
+	}
+	if err != nil {
+		return nil, true, &Error{"read", "", true, err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil {
+		return nil, true, &Error{"read body", "", true, err}
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Header.Set("Connection", "close")
+	}
+	if resp.Close {
+		resp.Header.Set("Connection", "close")
+	}
+	return &Answer{resp.StatusCode, resp.Header, body}, true, nil
+}
+
+// Status is the error of a call that was answered with something but 2xx.
+type Status struct {
+	Code int
+	Text string
+}
+
+func (s *Status) Error() string { return fmt.Sprintf("answered %d %s", s.Code, s.Text) }
+
+// StatusOf gives the status that the peer answered, or 0.
+func StatusOf(err error) int {
+	var s *Status
+	if errors.As(err, &s) {
+		return s.Code
+	}
+	return 0
+}
+
+// JSON is an answer with a JSON body.
+func JSON(status int, v any) *Response {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return &Response{Status: 500}
+	}
+	return &Response{Status: status, Header: []string{"Content-Type", "application/json"}, Body: body}
+}
+
+// Post sends JSON, with raw bytes behind it on a new line, to one of our own
+// processes and reads JSON back.
+func (p *Pool) Post(ctx context.Context, addr, path string, in any, raw []byte, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return &Error{"encode " + path, addr, false, err}
+	}
+	if raw != nil {
+		body = append(append(body, '\n'), raw...)
+	}
+	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Header: []string{"Content-Type", "application/json"}, Body: body})
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if a.Status/100 != 2 {
+		return &Error{path, addr, true, &Status{a.Status, string(bytes.TrimSpace(a.Body))}}
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.Body, out); err != nil {
+		return &Error{"decode " + path, addr, true, err}
+	}
+	return nil
+}
+
+// Split parts the JSON in front from the raw bytes behind it.
+func Split(body []byte) (front, raw []byte) {
+	front, raw, _ = bytes.Cut(body, []byte{'\n'})
+	return front, raw
+}
+
+// Mux answers the calls of our own processes by their path.
+type Mux map[string]Handler
+
+// Handle is the mux as a handler.
+func (m Mux) Handle(ctx context.Context, r *Request) *Response {
+	if h := m[r.URL.Path]; h != nil {
+		return h(ctx, r)
+	}
+	return Problem(404, "no such call: "+r.URL.Path)
+}
+
+// Method wraps a function of JSON to JSON as a handler.
+func Method[In, Out any](f func(ctx context.Context, in *In, raw []byte) (*Out, error)) Handler {
+	return func(ctx context.Context, r *Request) *Response {
+		front, raw := Split(r.Body)
+		in := new(In)
+		if len(front) > 0 {
+			if err := json.Unmarshal(front, in); err != nil {
+				return Problem(400, "the call cannot be read: "+err.Error())
+			}
+		}
+		out, err := f(ctx, in, raw)
+		if err != nil {
+			var s *Status
+			if errors.As(err, &s) {
+				return Problem(s.Code, s.Text)
+			}
+			return Problem(500, err.Error())
+		}
+		return JSON(200, out)
+	}
+}
