--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -77,7 +77,7 @@
 	db     *bbolt.DB
 	voters []string
 
-	write sync.Mutex // one pass or change of view at a time
+	write chan struct{} // one pass or change of view at a time
 
 	mu        sync.Mutex
 	view      View
@@ -85,7 +85,6 @@
 	docs      Documents
 	active    bool // a pass of this view went through here
 	touched   time.Time
-	reached   map[string]time.Time
 	adoptions int64
 }
 
@@ -98,7 +97,7 @@
 // Open reads the state on disk. With no state there, founders (if any) become
 // the voters and the first view.
 func (c *Chain) Open(db *bbolt.DB, founders []string) error {
-	c.db, c.docs, c.reached = db, Documents{}, map[string]time.Time{}
+	c.db, c.docs, c.write = db, Documents{}, make(chan struct{}, 1)
 	err := db.Update(func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{bucketState, bucketDocs, bucketVotes} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
@@ -166,6 +165,18 @@
 	})
 }
 
+// lock takes the right to pass or to change the view.
+func (c *Chain) lock(ctx context.Context) error {
+	select {
+	case c.write <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return &wire.Status{Code: 503, Text: "the chain is busy: " + ctx.Err().Error()}
+	}
+}
+
+func (c *Chain) unlock() { <-c.write }
+
 // Voters are the machines that vote on views and duties.
 func (c *Chain) Voters() []string {
 	c.mu.Lock()
@@ -183,8 +194,10 @@
 // Join gives a machine with an empty disk the voters and the view. It abstains
 // from every ballot in which its lost disk may have voted.
 func (c *Chain) Join(voters []string, view View) error {
-	c.write.Lock()
-	defer c.write.Unlock()
+	if err := c.lock(context.Background()); err != nil {
+		return err
+	}
+	defer c.unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.voters) > 0 {
@@ -207,8 +220,10 @@
 // the key and the value, or an error. An empty key writes nothing but still
 // returns only once all that decide saw is held by the tail.
 func (c *Chain) Propose(ctx context.Context, decide func(Documents) (string, []byte, error)) error {
-	c.write.Lock()
-	defer c.write.Unlock()
+	if err := c.lock(ctx); err != nil {
+		return err
+	}
+	defer c.unlock()
 	c.mu.Lock()
 	view, docs := c.view, c.docs
 	c.mu.Unlock()
@@ -229,7 +244,7 @@
 	return c.forward(ctx, p)
 }
 
-// apply puts a pass on disk and into memory. The write lock is held.
+// apply puts a pass on disk and into memory. The right to write is held.
 func (c *Chain) apply(p Pass) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -278,7 +293,7 @@
 }
 
 // forward hands a pass to the successor; when it returns nil, the tail holds
-// all that this machine holds. The write lock is held.
+// all that this machine holds. The right to write is held.
 func (c *Chain) forward(ctx context.Context, p Pass) error {
 	if next := p.View.next(c.Self); next != "" {
 		ctx, cancel := context.WithTimeout(ctx, c.Contact/5)
@@ -296,7 +311,6 @@
 			}
 			p.All, p.Whole = true, c.docs
 		}
-		c.met(next)
 	}
 	c.mu.Lock()
 	c.active, c.touched = true, time.Now()
@@ -306,16 +320,12 @@
 	return nil
 }
 
-func (c *Chain) met(who string) {
-	c.mu.Lock()
-	c.reached[who] = time.Now()
-	c.mu.Unlock()
-}
-
 // HandlePass takes what the predecessor sends.
 func (c *Chain) HandlePass(ctx context.Context, p *Pass, _ []byte) (*Passed, error) {
-	c.write.Lock()
-	defer c.write.Unlock()
+	if err := c.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer c.unlock()
 	c.mu.Lock()
 	view, sequence, active := c.view, c.sequence, c.active
 	c.mu.Unlock()
@@ -341,7 +351,6 @@
 	case p.Sequence != sequence:
 		return &Passed{Gap: true}, nil
 	}
-	c.met(p.View.Members[i-1])
 	if err := c.forward(ctx, *p); err != nil {
 		return nil, err
 	}
@@ -407,8 +416,10 @@
 
 // adopt takes a chosen view over; the view before it is sealed from here on.
 func (c *Chain) adopt(v View) error {
-	c.write.Lock()
-	defer c.write.Unlock()
+	if err := c.lock(context.Background()); err != nil {
+		return err
+	}
+	defer c.unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if v.Number <= c.view.Number {
--- /dev/null
+++ b/internal/cluster/network_test.go
@@ -0,0 +1,272 @@
+package cluster
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"saltreel/internal/wire"
+)
+
+// network is a simulated network: delays, cuts and machines that die. It runs
+// on the clock of the test's bubble.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]bool
+	dark      map[string]bool // by IP: packets to and from it are lost
+	delay     time.Duration
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, dark: map[string]bool{}, delay: time.Millisecond}
+}
+
+// process is one life of a process on the network.
+type process struct {
+	net  *network
+	ip   string
+	dead bool
+}
+
+type listener struct {
+	owner *process
+	addr  string
+	queue chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.owner.net.mu.Lock()
+		if l.owner.net.listeners[l.addr] == l {
+			delete(l.owner.net.listeners, l.addr)
+		}
+		l.owner.net.mu.Unlock()
+		close(l.done)
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.addr) }
+
+type address string
+
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
+
+func (p *process) network() wire.Network {
+	return wire.Network{Dial: p.dial, Listen: p.listen}
+}
+
+func (p *process) listen(addr string) (net.Listener, error) {
+	l := &listener{owner: p, addr: addr, queue: make(chan net.Conn, 256), done: make(chan struct{})}
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	if p.dead || p.net.listeners[addr] != nil {
+		return nil, syscall.EADDRINUSE
+	}
+	p.net.listeners[addr] = l
+	return l, nil
+}
+
+func (p *process) dial(ctx context.Context, addr string) (net.Conn, error) {
+	n := p.net
+	ip, _, _ := net.SplitHostPort(addr)
+	select {
+	case <-time.After(2 * n.delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	l := n.listeners[addr]
+	silent := n.dark[ip] || n.dark[p.ip]
+	if p.dead || l == nil || silent {
+		n.mu.Unlock()
+		if p.dead || silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
+	a, b := newPipe(n), newPipe(n)
+	near := &conn{in: a, out: b, owner: p, peer: l.owner}
+	far := &conn{in: b, out: a, owner: l.owner, peer: p}
+	n.conns[near], n.conns[far] = true, true
+	n.mu.Unlock()
+	select {
+	case l.queue <- far:
+	case <-l.done:
+	}
+	return near, nil
+}
+
+// kill ends a life: its sockets close with a reset, and it reaches nobody any more.
+func (p *process) kill() {
+	n := p.net
+	n.mu.Lock()
+	p.dead = true
+	var ls []*listener
+	for _, l := range n.listeners {
+		if l.owner == p {
+			ls = append(ls, l)
+		}
+	}
+	var cs []*conn
+	for c := range n.conns {
+		if c.owner == p || c.peer == p {
+			cs = append(cs, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range ls {
+		l.Close()
+	}
+	for _, c := range cs {
+		c.in.close(syscall.ECONNRESET)
+		c.out.close(syscall.ECONNRESET)
+	}
+}
+
+// cut makes a machine dark, or lights it again.
+func (n *network) cut(ip string, dark bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[ip] = dark
+}
+
+type conn struct {
+	in, out     *pipe
+	owner, peer *process
+}
+
+func (c *conn) Read(b []byte) (int, error) { return c.in.read(b) }
+
+func (c *conn) Write(b []byte) (int, error) {
+	n := c.owner.net
+	n.mu.Lock()
+	lost := n.dark[c.owner.ip] || n.dark[c.peer.ip]
+	n.mu.Unlock()
+	if lost {
+		return len(b), nil
+	}
+	return c.out.write(b)
+}
+
+func (c *conn) Close() error {
+	c.in.close(net.ErrClosed)
+	c.out.close(io.EOF)
+	n := c.owner.net
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+	return nil
+}
+
+func (c *conn) LocalAddr() net.Addr                { return address(c.owner.ip + ":1") }
+func (c *conn) RemoteAddr() net.Addr               { return address(c.peer.ip + ":1") }
+func (c *conn) SetDeadline(t time.Time) error      { return c.in.deadlineAt(t) }
+func (c *conn) SetReadDeadline(t time.Time) error  { return c.in.deadlineAt(t) }
+func (c *conn) SetWriteDeadline(t time.Time) error { return nil }
+
+// pipe is one direction of a connection.
+type pipe struct {
+	net      *network
+	mu       sync.Mutex
+	chunks   []chunk
+	end      error
+	deadline time.Time
+	wake     chan struct{}
+}
+
+type chunk struct {
+	at   time.Time
+	data []byte
+}
+
+func newPipe(n *network) *pipe { return &pipe{net: n, wake: make(chan struct{})} }
+
+func (p *pipe) stir() {
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+func (p *pipe) deadlineAt(t time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadline = t
+	p.stir()
+	return nil
+}
+
+func (p *pipe) close(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.end == nil {
+		p.end = err
+		p.stir()
+	}
+}
+
+func (p *pipe) write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.end != nil {
+		return 0, syscall.EPIPE
+	}
+	p.chunks = append(p.chunks, chunk{time.Now().Add(p.net.delay), append([]byte(nil), b...)})
+	p.stir()
+	return len(b), nil
+}
+
+func (p *pipe) read(b []byte) (int, error) {
+	for {
+		p.mu.Lock()
+		now := time.Now()
+		wait := time.Hour
+		if !p.deadline.IsZero() {
+			if wait = p.deadline.Sub(now); wait <= 0 {
+				p.mu.Unlock()
+				return 0, os.ErrDeadlineExceeded
+			}
+		}
+		if p.end != nil && (p.end != io.EOF || len(p.chunks) == 0) {
+			defer p.mu.Unlock()
+			return 0, p.end
+		}
+		if len(p.chunks) > 0 {
+			c := &p.chunks[0]
+			if !c.at.After(now) {
+				n := copy(b, c.data)
+				if c.data = c.data[n:]; len(c.data) == 0 {
+					p.chunks = p.chunks[1:]
+				}
+				p.mu.Unlock()
+				return n, nil
+			}
+			wait = min(wait, c.at.Sub(now))
+		}
+		wake := p.wake
+		p.mu.Unlock()
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-wake:
+		}
+		t.Stop()
+	}
+}
--- /dev/null
+++ b/internal/cluster/path_test.go
@@ -0,0 +1,306 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"saltreel/internal/wire"
+)
+
+func TestMessageIsTakenDeliveredAndToldOf(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		for _, z := range zones {
+			id := w.id()
+			name := w.accept(z, "/plain/x?q=1", id)
+			w.ended(name, "complete seal-"+id, 3*time.Second)
+			if n := plain.count(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+		for _, d := range plain.all() {
+			if d.body != "body of "+d.id || d.tenant != "one" {
+				t.Errorf("delivered %+v", d)
+			}
+		}
+		delayed := w.id()
+		began := time.Now()
+		name := w.accept("z1", "/plain/y", delayed, "Saltreel-Delay-Ms", "1500")
+		if got := w.state(name); got != "pending" {
+			t.Errorf("delayed message: %s", got)
+		}
+		if code, body := w.ask("z3", "/v1/message-body/"+name); code != 200 || body != "body of "+delayed {
+			t.Errorf("body: %d %q", code, body)
+		}
+		w.ended(name, "complete seal-"+delayed, 4*time.Second)
+		for _, d := range plain.all() {
+			if d.id == delayed && d.at.Sub(began) < 1500*time.Millisecond {
+				t.Errorf("ran %v after it was sent", d.at.Sub(began))
+			}
+		}
+	})
+}
+
+func TestWhatClientsAreRefused(t *testing.T) {
+	run(t, func(w *world) {
+		w.service("plain", "z1")
+		w.configure(options{})
+		for _, c := range []struct {
+			path, id string
+			header   []string
+			want     int
+		}{
+			{"/nowhere/", "a1", nil, 404},
+			{"/plain/", "a2", []string{"Saltreel-Key", "wrong"}, 401},
+			{"/plain/", "", nil, 400},
+			{"/plain/", "a3", []string{"Saltreel-Delay-Ms", "soon"}, 400},
+			{"/plain/", "a4", []string{"Content-Length", "3"}, 400},
+			{"/plain/", "a5", []string{"X-Large", strings.Repeat("x", 17000)}, 431},
+		} {
+			if a := w.send("z1", c.path, c.id, c.header...); a.Status != c.want {
+				t.Errorf("%s %s %.40v: %d, not %d", c.path, c.id, c.header, a.Status, c.want)
+			}
+		}
+		a, err := w.do(w.nodes["edge-z1"].ip+":80", &wire.Call{Method: "POST", Target: "/plain/", Host: "app.example", Header: []string{"Saltreel-Key", "key-one", "Saltreel-Attempt-Id", "a6"}, Body: make([]byte, 300000)}, time.Second)
+		if err != nil || a.Status != 413 {
+			t.Errorf("large body: %v %v", a, err)
+		}
+		name := w.accept("z1", "/plain/", "a7")
+		a, err = w.do(w.nodes["edge-z2"].ip+":80", &wire.Call{Method: "GET", Target: "/v1/message/" + name, Host: "app.example", Header: []string{"Saltreel-Key", "key-two"}}, time.Second)
+		if err != nil || a.Status != 404 {
+			t.Errorf("another tenant's question: %v %v", a, err)
+		}
+	})
+}
+
+func TestFailuresEndAsTheRulesSay(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2")
+		plain.answer = func(d delivery) (int, time.Duration) {
+			switch d.id {
+			case "never":
+				return 422, 0
+			case "fails":
+				return 500, 0
+			case "third":
+				if plain.count("third") < 2 {
+					return 500, 0
+				}
+			}
+			return 200, 0
+		}
+		w.configure(options{attempts: 3})
+		for id, want := range map[string]string{"never": "dead_letter", "fails": "dead_letter", "third": "complete seal-third"} {
+			name := w.accept("z1", "/plain/", id)
+			w.ended(name, want, 5*time.Second)
+			if want == "dead_letter" {
+				if code, body := w.ask("z1", "/v1/message-body/"+name); code != 200 || body != "body of "+id {
+					t.Errorf("body of the dead letter %s: %d %q", id, code, body)
+				}
+			}
+		}
+		if a, b, c := plain.count("never"), plain.count("fails"), plain.count("third"); a != 1 || b != 3 || c != 3 {
+			t.Errorf("runs: %d %d %d", a, b, c)
+		}
+	})
+}
+
+func TestOrderHoldsThroughFailuresAndALostStore(t *testing.T) {
+	run(t, func(w *world) {
+		ordered := w.service("ordered", "z1", "z2", "z3")
+		n := 0
+		ordered.answer = func(d delivery) (int, time.Duration) {
+			if n++; n%4 == 0 {
+				return 500, 20 * time.Millisecond
+			}
+			return 200, 20 * time.Millisecond
+		}
+		w.configure(options{attempts: 20})
+		var ids []string
+		names := map[string]string{}
+		for i := range 40 {
+			id := w.id()
+			ids = append(ids, id)
+			names[id] = w.accept(zones[i%3], "/ordered/", id, "Saltreel-Order-Key", "thing")
+			if i == 15 {
+				w.kill("store-z1")
+			}
+			if i == 30 {
+				w.start("store-z1", false)
+			}
+		}
+		for _, id := range ids {
+			w.ended(names[id], "complete seal-"+id, 20*time.Second)
+		}
+		firstEnd := map[string]time.Time{}
+		for _, d := range ordered.all() {
+			if e, ok := firstEnd[d.id]; !ok || d.ended.Before(e) {
+				firstEnd[d.id] = d.ended
+			}
+		}
+		lastStart := time.Time{}
+		for _, id := range ids { // a later message starts only after an earlier one has succeeded
+			for _, d := range ordered.all() {
+				if d.id == id && d.at.Before(lastStart) {
+					t.Errorf("%s started before its predecessor ended", id)
+				}
+			}
+			for _, d := range ordered.all() {
+				if d.id == id && d.ended.After(lastStart) && d.ended.Equal(firstEnd[id]) {
+					lastStart = d.ended
+				}
+			}
+		}
+	})
+}
+
+func TestPacedServiceStaysBelowItsCeiling(t *testing.T) {
+	run(t, func(w *world) {
+		paced := &service{w: w, name: "paced", by: map[string]*instance{}}
+		in := &instance{id: "", addr: "10.20.30.40:90", life: &process{net: w.net, ip: "10.20.30.40"}}
+		l, err := in.life.listen(in.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		w.nodes["endpoint"] = &machine{stop: cancel}
+		server := &wire.Server{Handle: func(_ context.Context, r *wire.Request) *wire.Response { return paced.handle(in, r) }}
+		w.tasks.Go(func() { _ = server.Serve(ctx, l) })
+		w.configure(options{pace: 20})
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() { w.accept(zones[i%3], "/paced/", fmt.Sprintf("p%d", i)) })
+			if i == 60 {
+				time.Sleep(time.Second)
+				victim := ""
+				s, _ := w.status()
+				for _, p := range s.Placement.Partitions {
+					victim = p.Primary
+				}
+				w.kill(victim)
+			}
+		}
+		wg.Wait()
+		w.until(30*time.Second, "all paced messages", func() bool { return len(paced.all()) >= 200 })
+		runs := paced.all()
+		for i, d := range runs {
+			k := 0
+			for _, e := range runs[i:] {
+				if e.at.Sub(d.at) < 5*time.Second {
+					k++
+				}
+			}
+			if limit := 20*5*1.1 + 5; float64(k) > limit {
+				t.Fatalf("%d arrivals in 5 s, %v allowed", k, limit)
+			}
+		}
+	})
+}
+
+func TestTenantLimitBindsOverAllEdges(t *testing.T) {
+	run(t, func(w *world) {
+		w.service("plain", "z1", "z2", "z3")
+		w.configure(options{rate: 20, burst: 20})
+		var mu sync.Mutex
+		var taken []time.Time
+		refused, other := 0, 0
+		var wg sync.WaitGroup
+		for i := range 600 { // 100 a second against 20
+			time.Sleep(10 * time.Millisecond)
+			wg.Go(func() {
+				a := w.send(zones[i%3], "/plain/", fmt.Sprintf("q%d", i))
+				mu.Lock()
+				defer mu.Unlock()
+				switch a.Status {
+				case 202:
+					taken = append(taken, time.Now())
+				case 429:
+					refused++
+					if a.Header.Get("Retry-After") == "" || a.Header.Get("Saltreel-Throttle-Ms") == "" {
+						t.Errorf("a 429 does not tell when to come back: %v", a.Header)
+					}
+				default:
+					other++
+				}
+			})
+		}
+		wg.Wait()
+		most := 0
+		for i := range taken {
+			k := 0
+			for _, at := range taken {
+				if d := at.Sub(taken[i]); d >= 0 && d < 5*time.Second {
+					k++
+				}
+			}
+			most = max(most, k)
+		}
+		if limit := (20.0*5+20)*1.1 + 20; float64(most) > limit {
+			t.Errorf("%d taken in 5 s, %v allowed", most, limit)
+		}
+		if len(taken) < 100 || refused < 300 || other > 0 {
+			t.Errorf("%d taken, %d refused, %d other", len(taken), refused, other)
+		}
+		if a := w.send("z1", "/plain/", "neighbour", "Saltreel-Key", "key-two"); a.Status != 202 {
+			t.Errorf("a neighbour of the busy tenant got %d", a.Status)
+		}
+	})
+}
+
+func TestRemovedRouteAndKeyAreOutOfForceEverywhere(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1")
+		w.configure(options{keys: `"key-one","spare"`})
+		waiting := w.accept("z1", "/plain/", "waits", "Saltreel-Delay-Ms", "4000")
+		w.configure(options{without: "plain"})
+		for _, z := range zones {
+			if a := w.send(z, "/plain/", "late-"+z); a.Status != 404 {
+				t.Errorf("removed route at %s: %d", z, a.Status)
+			}
+			if a := w.send(z, "/ordered/", "key-"+z, "Saltreel-Key", "spare"); a.Status != 401 {
+				t.Errorf("removed key at %s: %d", z, a.Status)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		if plain.count("waits") != 0 || w.state(waiting) != "dead_letter" {
+			t.Errorf("message of a removed route: %d runs, %s", plain.count("waits"), w.state(waiting))
+		}
+	})
+}
+
+func TestDrainingHandlerGetsNothingMore(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		in := plain.by["plain-i0"]
+		plain.mu.Lock()
+		in.state = "draining"
+		plain.mu.Unlock()
+		if !plain.beat(in) {
+			t.Fatal("draining is not acknowledged")
+		}
+		acked := time.Now()
+		time.Sleep(300 * time.Millisecond)
+		from := time.Now()
+		for i := range 30 {
+			w.accept(zones[i%3], "/plain/", w.id())
+		}
+		time.Sleep(time.Second)
+		for _, d := range plain.all() {
+			if d.instance == in.id && d.at.After(from) {
+				t.Errorf("delivered to it %v after the acknowledgement", d.at.Sub(acked))
+			}
+		}
+		if code := plain.call("DELETE", in.id, ""); code != 200 {
+			t.Errorf("leave: %d", code)
+		}
+		if code := plain.call("PUT", "bad", `{"service":1}`); code != 400 {
+			t.Errorf("malformed beat: %d", code)
+		}
+	})
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -74,7 +74,8 @@
 // closed or the server drains.
 func (c *Conn) Hold(ch <-chan struct{}) { c.hold = ch }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener is closed. When ctx ends, the
+// connections end as they stand; Drain lets them finish first.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
 	if s.conns == nil {
@@ -82,7 +83,10 @@
 	}
 	s.listener = l
 	s.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { l.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		s.closeAll()
+	})
 	defer stop()
 	for {
 		nc, err := l.Accept()
@@ -145,11 +149,17 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		s.mu.Lock()
-		for c := range s.conns {
-			c.Close()
-		}
-		s.mu.Unlock()
+		s.closeAll()
+	}
+}
+
+// closeAll ends every connection as it stands.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing, s.stopped = true, true
+	for c := range s.conns {
+		c.Close()
 	}
 }
 
