--- a/cmd/saltreel-data/main.go
+++ b/cmd/saltreel-data/main.go
@@ -3,12 +3,14 @@
 package main
 
 import (
+	"context"
 	"log"
 	"os"
 
 	"github.com/spf13/cobra"
 
 	"saltreel/internal/edge"
+	"saltreel/internal/handler"
 	"saltreel/internal/platform"
 	"saltreel/internal/settings"
 	"saltreel/internal/store"
@@ -25,6 +27,12 @@
 			return store.New(set, wire.TCP(), logger)
 		}),
 		platform.Check("edge", "store"),
+		&cobra.Command{Use: "sink ADDRESS", Short: "Run a handler that takes every message and prints it, for trying things out", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				ctx, cancel := platform.Stop(context.Background())
+				defer cancel()
+				return handler.Sink(ctx, wire.TCP(), args[0], cmd.OutOrStdout())
+			}},
 	)
 	os.Exit(platform.Main(root))
 }
