A late backlog waits behind fresh messages; steady clocks; full stores refuse

Messages that can no longer start in time now wait behind those that can, until half of their retention has passed; a silent handler is tried again every contact/8, and opening a connection may take contact/16. Also: steps of the wall clock no longer move due times or ends of retention, and times in copies follow the clock of the machine that holds them; a store over its disk or memory bound answers 503 before it takes anything; a link could start before the set ran, found by a test.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -66,15 +66,17 @@
 	ended    bool
 	priority int32
 	service  *service
-	last     string // the instance of the last try
-	index    int
+	last     string    // the instance of the last try
+	target   time.Time // when it is to start at the latest to be in time
+	patience time.Time // from then on it goes before all others
 }
 
 // service is the queue of one service.
 type service struct {
 	name   string
 	later  timeHeap
-	ready  readyHeap
+	ready  readyHeap // may still start in time
+	late   lateHeap  // cannot any more: after those that can, oldest first
 	tokens float64
 	filled time.Time
 	paced  bool
@@ -209,7 +211,7 @@
 	if p.items[r.ID] != nil {
 		return
 	}
-	it := &item{record: r, part: p, due: now.Add(time.Duration(r.Due-now.UnixMilli()) * time.Millisecond)}
+	it := &item{record: r, part: p, due: now.Add(time.Duration(r.Due-s.Set.Now()) * time.Millisecond)}
 	if it.due.Before(now) {
 		it.due = now
 	}
@@ -246,6 +248,8 @@
 	if t := s.Table(); t != nil {
 		if r := t.Route(it.record.Host, it.record.Target); r != nil {
 			name, it.priority = r.Service, r.Priority
+			it.target = it.since.Add(time.Duration(r.StartTargetMs) * time.Millisecond)
+			it.patience = it.since.Add(settings.Seconds(r.RetentionS / 2))
 		}
 	}
 	svc := s.services[name]
@@ -290,7 +294,7 @@
 	if len(svc.later) > 0 {
 		next = min(next, svc.later[0].due.Sub(now))
 	}
-	if len(svc.ready) == 0 {
+	if len(svc.ready)+len(svc.late) == 0 {
 		return next
 	}
 	table := s.Table()
@@ -300,8 +304,7 @@
 	conf := table.Service(svc.name)
 	var aside []*item
 	blocked := 0
-	for len(svc.ready) > 0 {
-		it := heap.Pop(&svc.ready).(*item)
+	for it := svc.next(now); it != nil; it = svc.next(now) {
 		if it.ended {
 			continue
 		}
@@ -311,7 +314,7 @@
 			continue
 		}
 		route := table.Route(it.record.Host, it.record.Target)
-		if route == nil || it.record.Expires > 0 && it.record.Expires < now.UnixMilli() {
+		if route == nil || it.record.Expires > 0 && it.record.Expires < s.Set.Now() {
 			s.land(it)
 			s.Set.Finish(it.record.Partition, it.record.ID, partition.Dead, "")
 			s.close(it)
@@ -368,6 +371,25 @@
 	return next
 }
 
+// next takes the item that is to start first. A backlog of items that are late
+// in any case does not make the fresh ones late too, unless it waited for long.
+func (svc *service) next(now time.Time) *item {
+	if len(svc.late) > 0 && now.After(svc.late[0].patience) {
+		return heap.Pop(&svc.late).(*item)
+	}
+	for len(svc.ready) > 0 {
+		it := heap.Pop(&svc.ready).(*item)
+		if it.ended || !now.After(it.target) {
+			return it
+		}
+		heap.Push(&svc.late, it)
+	}
+	if len(svc.late) > 0 {
+		return heap.Pop(&svc.late).(*item)
+	}
+	return nil
+}
+
 // mayFly counts a delivery as under way if it may start; land counts it off.
 func (s *Scheduler) mayFly(it *item) bool {
 	s.fly(it.record.Partition, 1)
@@ -520,7 +542,7 @@
 	contact := s.Settings.Contact()
 	shut := func(base time.Duration) {
 		t.failures++
-		d := min(contact/4, base<<min(t.failures-1, 6))
+		d := min(contact/8, base<<min(t.failures-1, 6))
 		t.shut = now.Add(d*3/4 + rand.N(d/2))
 		t.trial = true
 	}
@@ -532,6 +554,7 @@
 	case handler.Wrong:
 		shut(contact / 4)
 	case handler.Silent:
+		s.Pool.Forget(t.Address) // its connections may hang
 		shut(contact / 40)
 	case handler.Unclear:
 		if t.failures++; t.failures > 1 {
@@ -575,12 +598,20 @@
 	if h[i].priority != h[j].priority {
 		return h[i].priority < h[j].priority
 	}
-	return h[i].since.Before(h[j].since)
+	return h[i].target.Before(h[j].target)
 }
 func (h readyHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 func (h *readyHeap) Push(x any)   { *h = append(*h, x.(*item)) }
 func (h *readyHeap) Pop() any     { return pop((*[]*item)(h)) }
 
+type lateHeap []*item
+
+func (h lateHeap) Len() int           { return len(h) }
+func (h lateHeap) Less(i, j int) bool { return h[i].since.Before(h[j].since) }
+func (h lateHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *lateHeap) Push(x any)        { *h = append(*h, x.(*item)) }
+func (h *lateHeap) Pop() any          { return pop((*[]*item)(h)) }
+
 func pop(h *[]*item) *item {
 	old := *h
 	it := old[len(old)-1]
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -48,6 +48,7 @@
 // order of the records.
 type Batch struct {
 	From  string  `json:"from"`
+	Now   int64   `json:"now"` // the sender's clock: machines may not agree on the time
 	Parts []Share `json:"parts"`
 }
 
@@ -55,6 +56,7 @@
 type Share struct {
 	Number  int       `json:"n"`
 	Epoch   int64     `json:"e"`
+	Now     int64     `json:"now,omitempty"`
 	Records []*Record `json:"r,omitempty"`
 	Release bool      `json:"release,omitempty"` // the primary gives its lease back
 }
@@ -129,7 +131,7 @@
 func (s *Set) collect(peer string) (Batch, []byte, []sentShare, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := Batch{From: s.Self}
+	b := Batch{From: s.Self, Now: s.Now()}
 	raw := []byte{}
 	var sent []sentShare
 	for _, p := range s.parts {
@@ -142,7 +144,7 @@
 			sh.Records = append(sh.Records, r)
 		}
 		slices.SortFunc(sh.Records, func(a, b *Record) int { return cmp.Compare(a.Sequence, b.Sequence) })
-		size := len(raw)
+		size := int64(len(raw))
 		for i, r := range sh.Records {
 			if i > 0 && size > batchBytes {
 				sh.Records, ss.whole = sh.Records[:i], false
@@ -264,11 +266,12 @@
 		wrote = wrote || len(x.Records) > 0
 		for _, r := range x.Records {
 			r.Partition = p.number
+			r.shift(s.Now() - b.Now)
 			r.Body, mine = slices.Clone(mine[:r.Length]), mine[r.Length:]
 			if !r.newer(p.records[r.ID]) {
 				continue
 			}
-			p.put(r)
+			s.put(p, r)
 			s.write(p, r, nil)
 		}
 		if x.Release {
@@ -394,7 +397,7 @@
 	if in.Number < 0 || in.Number >= len(s.parts) {
 		return wire.Problem(421, "no such partition here")
 	}
-	sh := Share{Number: in.Number}
+	sh := Share{Number: in.Number, Now: s.Now()}
 	var raw []byte
 	for _, id := range in.IDs {
 		if x := s.parts[in.Number].records[id]; x != nil && len(raw) < 4*batchBytes {
@@ -443,6 +446,7 @@
 			return &wire.Error{Step: "decode fetch", Peer: addr, Sent: true, Err: fmt.Errorf("the bodies are cut short")}
 		}
 		r.Partition = n
+		r.shift(s.Now() - sh.Now)
 		r.Body, raw = slices.Clone(raw[:r.Length]), raw[r.Length:]
 		old := p.records[r.ID]
 		if old != nil && r.State <= old.State {
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -108,6 +108,17 @@
 	return d, records, fence, nil
 }
 
+// used is the size of the file without its free pages.
+func (d *disk) used() int64 {
+	var size int64
+	_ = d.db.View(func(tx *bbolt.Tx) error {
+		size = tx.Size()
+		return nil
+	})
+	st := d.db.Stats()
+	return size - int64(st.FreePageN+st.PendingPageN)*int64(d.db.Info().PageSize)
+}
+
 func (d *disk) put(c change) {
 	d.mu.Lock()
 	d.queue = append(d.queue, c)
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -1,10 +1,18 @@
 package partition
 
 import (
+	"context"
+	"io"
+	"log"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"saltreel/internal/core"
+	"saltreel/internal/wire"
 )
 
 func TestTheLaterStateWinsWhereCopiesDiffer(t *testing.T) {
@@ -16,20 +24,88 @@
 	if !(&Record{Epoch: 2, Sequence: 1}).newer(&Record{Epoch: 1, Sequence: 5}) || pending.newer(pending) {
 		t.Error("the newer epoch does not win")
 	}
-	p := &part{records: map[string]*Record{}}
-	p.put(&Record{ID: "a"})
-	before := p.digest
-	p.put(&Record{ID: "b", Sequence: 1})
-	p.put(&Record{ID: "b", State: Complete, Sequence: 2})
+	p, s := &part{records: map[string]*Record{}}, &Set{}
+	s.put(p, &Record{ID: "a"})
+	before, held := p.digest, s.held
+	s.put(p, &Record{ID: "b", Sequence: 1, Body: make([]byte, 100)})
+	s.put(p, &Record{ID: "b", State: Complete, Sequence: 2})
 	if p.digest == before || p.count != 2 {
 		t.Error("the digest does not tell the copies apart")
 	}
-	p.put(&Record{ID: "b", State: Forgotten, Sequence: 3})
-	if p.digest != before || p.count != 1 || p.sequence != 3 {
+	s.put(p, &Record{ID: "b", State: Forgotten, Sequence: 3})
+	if p.digest != before || p.count != 1 || p.sequence != 3 || s.held != held {
 		t.Error("a forgotten record is still counted")
 	}
 }
 
+// open makes a set that backs up partition 0 of another store.
+func open(t *testing.T) *Set {
+	t.Helper()
+	s := &Set{Self: "me", Contact: 4 * time.Second, Log: log.New(io.Discard, "", 0), Keep: time.Minute,
+		Pool: &wire.Pool{Network: wire.Network{Dial: func(context.Context, string) (net.Conn, error) { return nil, io.EOF }}}}
+	if err := s.Open(t.TempDir()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { _ = s.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	s.Place(core.Placement{Version: 1, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
+		Partitions: []core.Partition{{Epoch: 5, Primary: "other", Backup: "me", InStep: true}}})
+	return s
+}
+
+func TestACopyRefusesOlderEpochsAndFollowsNewerOnes(t *testing.T) {
+	s := open(t)
+	for _, c := range []struct {
+		from  string
+		epoch int64
+		stale bool
+	}{{"other", 4, true}, {"third", 5, true}, {"other", 5, false}, {"third", 7, false}, {"other", 5, true}, {"third", 7, false}} {
+		out, err := s.HandleCopy(t.Context(), &Batch{From: c.from, Parts: []Share{{Number: 0, Epoch: c.epoch, Records: []*Record{{ID: "x", Epoch: c.epoch, Sequence: 1}}}}}, nil)
+		if err != nil || len(out.Parts) != 1 || out.Parts[0].Stale != c.stale {
+			t.Errorf("%+v: %+v %v", c, out, err)
+		}
+	}
+	if err := s.Accept(t.Context(), 0, &Record{ID: "y"}); wire.StatusOf(err) != 421 {
+		t.Errorf("a backup takes messages: %v", err)
+	}
+	if s.Leads(0) {
+		t.Error("a backup delivers")
+	}
+}
+
+func TestTimesFollowTheClockOfTheCopy(t *testing.T) {
+	s := open(t)
+	hour := time.Hour.Milliseconds()
+	now := s.Now()
+	_, err := s.HandleCopy(t.Context(), &Batch{From: "other", Now: now + hour, Parts: []Share{{Epoch: 5, Records: []*Record{{ID: "x", Sequence: 1, Due: now + hour + 2000, Expires: now + hour + 90000}}}}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := s.parts[0].records["x"]
+	if d := r.Due - now; d < 1900 || d > 3000 {
+		t.Errorf("due in %d ms, not 2000, behind a clock that is an hour ahead", d)
+	}
+	if d := r.Expires - now; d < 89000 || d > 91000 {
+		t.Errorf("expires in %d ms, not 90000", d)
+	}
+}
+
+func TestAFullStoreTakesNothing(t *testing.T) {
+	s := open(t)
+	s.Place(core.Placement{Version: 2, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
+		Partitions: []core.Partition{{Epoch: 6, Primary: "me", Backup: "other"}}})
+	s.mu.Lock()
+	s.MaxMemory = 1
+	s.held = 2
+	s.measure()
+	s.mu.Unlock()
+	if err := s.Accept(t.Context(), 0, &Record{ID: "y"}); wire.StatusOf(err) != 503 {
+		t.Errorf("a full store: %v", err)
+	}
+}
+
 func TestADamagedFileIsMovedAsideAndNamed(t *testing.T) {
 	dir := t.TempDir()
 	d, records, _, err := openDisk(dir, t.Logf)
--- a/internal/partition/record.go
+++ b/internal/partition/record.go
@@ -77,7 +77,17 @@
 }
 
 // memory estimates what a record takes.
-func (r *Record) memory() int { return 400 + len(r.Body) }
+func (r *Record) memory() int64 { return 400 + int64(len(r.Body)) }
+
+// shift moves the times of a record from another machine's clock to this one's.
+func (r *Record) shift(ms int64) {
+	if r.Due != 0 {
+		r.Due += ms
+	}
+	if r.Expires != 0 {
+		r.Expires += ms
+	}
+}
 
 func key(partition int, id string) []byte {
 	return append(binary.BigEndian.AppendUint16(nil, uint16(partition)), id...)
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -29,6 +29,9 @@
 	Keep    time.Duration // how long an ended state is kept
 	Log     *log.Logger
 	Report  func(ctx context.Context, in core.InStep) error
+	// Bounds of what is kept, in bytes; 0 means none. A store over them takes
+	// no new messages.
+	MaxDisk, MaxMemory int64
 
 	disk   *disk
 	events chan struct{}
@@ -40,11 +43,18 @@
 	fence     Fence
 	queue     []Event
 	links     map[string]*link
-	ctx       context.Context
+	ctx       context.Context // of what the set does on its own
+	stop      context.CancelFunc
 	started   time.Time
+	held      int64 // memory of the records, about
+	full      bool
 	tasks     sync.WaitGroup
 }
 
+// Now is the wall clock in milliseconds as it was at the start, carried on by
+// the steady clock: steps of the wall clock while the process runs do not count.
+func (s *Set) Now() int64 { return s.started.Add(time.Since(s.started)).UnixMilli() }
+
 // part is one partition on this store.
 type part struct {
 	number  int
@@ -100,6 +110,7 @@
 		s.loaded[r.Partition] = append(s.loaded[r.Partition], r)
 	}
 	s.started = time.Now()
+	s.ctx, s.stop = context.WithCancel(context.Background())
 	return nil
 }
 
@@ -108,9 +119,7 @@
 
 // Run writes, replicates and sweeps until ctx ends.
 func (s *Set) Run(ctx context.Context) error {
-	s.mu.Lock()
-	s.ctx = ctx
-	s.mu.Unlock()
+	defer context.AfterFunc(ctx, s.stop)()
 	s.tasks.Go(func() { s.sweep(ctx) })
 	err := s.disk.run(ctx)
 	s.tasks.Wait()
@@ -135,10 +144,12 @@
 	}
 }
 
-func (p *part) put(r *Record) {
+// put makes a record the newest of its id. The lock is held.
+func (s *Set) put(p *part, r *Record) {
 	if old := p.records[r.ID]; old != nil {
 		p.digest ^= old.mark()
 		p.count--
+		s.held -= old.memory()
 	}
 	p.sequence = max(p.sequence, r.Sequence)
 	if r.State == Forgotten {
@@ -148,6 +159,7 @@
 	p.records[r.ID] = r
 	p.digest ^= r.mark()
 	p.count++
+	s.held += r.memory()
 }
 
 // write puts a record on disk. The lock is held.
@@ -164,7 +176,7 @@
 func (s *Set) change(p *part, r *Record, done func()) {
 	p.sequence++
 	r.Sequence, r.Epoch, r.Length = p.sequence, p.epoch, len(r.Body)
-	p.put(r)
+	s.put(p, r)
 	if p.backup != "" {
 		p.dirty[r.ID] = r
 	}
@@ -186,7 +198,7 @@
 			p := &part{number: i, records: map[string]*Record{}, dirty: map[string]*Record{}, waiting: map[string]*accepted{},
 				moved: make(chan struct{}), granted: s.started.Add(s.Lease()), epoch: s.fence[i]}
 			for _, r := range s.loaded[i] {
-				p.put(r)
+				s.put(p, r)
 			}
 			delete(s.loaded, i)
 			s.parts = append(s.parts, p)
@@ -307,6 +319,10 @@
 				s.mu.Unlock()
 				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has no second store", n)}
 			}
+			if s.full {
+				s.mu.Unlock()
+				return &wire.Status{Code: 503, Text: "this store is full"}
+			}
 			r.Partition = n
 			r.Order = p.sequence + 1
 			w = &accepted{record: r, done: make(chan struct{})}
@@ -352,7 +368,7 @@
 	if r == nil || r.State != Pending {
 		return
 	}
-	end := r.ended(state, seal, time.Now().Add(s.Keep).UnixMilli())
+	end := r.ended(state, seal, s.Now()+s.Keep.Milliseconds())
 	if p.primary == s.Self {
 		s.change(p, end, nil)
 		return
@@ -360,7 +376,7 @@
 	// Not the primary any more: what is known is kept and told when asked.
 	p.sequence++
 	end.Sequence, end.Epoch = p.sequence, r.Epoch
-	p.put(end)
+	s.put(p, end)
 	s.write(p, end, nil)
 }
 
@@ -404,9 +420,19 @@
 	return r, nil
 }
 
+// measure decides whether the store is full. The lock is held.
+func (s *Set) measure() {
+	disk := s.disk.used()
+	full := s.MaxDisk > 0 && disk > s.MaxDisk || s.MaxMemory > 0 && s.held > s.MaxMemory
+	if full != s.full {
+		s.Log.Printf("store: full: %v, %d MB on disk, %d MB in memory", full, disk>>20, s.held>>20)
+	}
+	s.full = full
+}
+
 // sweep forgets what is past its time.
 func (s *Set) sweep(ctx context.Context) {
-	tick := time.NewTicker(s.Contact)
+	tick := time.NewTicker(s.Contact / 4)
 	defer tick.Stop()
 	for {
 		select {
@@ -414,8 +440,9 @@
 			return
 		case <-tick.C:
 		}
-		now := time.Now().UnixMilli()
+		now := s.Now()
 		s.mu.Lock()
+		s.measure()
 		for _, p := range s.parts {
 			if p.primary != s.Self {
 				continue
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,6 +40,7 @@
 	s.parts = &partition.Set{
 		Self: set.NodeName, Pool: s.node.Pool, Contact: set.Contact(), Log: logger,
 		Keep: settings.Seconds(set.Timers.StatusTtlS), Report: s.node.Report,
+		MaxDisk: set.Limits.DiskMb << 20 * 3 / 4, MaxMemory: set.Limits.MemoryMb << 20 / 3,
 	}
 	if err := s.parts.Open(set.DataPath); err != nil {
 		return nil, err
@@ -48,7 +49,7 @@
 	s.bytes = quota.NewManager(quota.DeliveryBytes)
 	s.deliver = &delivery.Scheduler{
 		Set: s.parts, Settings: set, Log: logger, Table: s.node.Table, Bytes: s.bytes,
-		Pool: &wire.Pool{Network: network},
+		Pool: &wire.Pool{Network: network, Opening: set.Contact() / 16},
 	}
 	s.deliver.Init()
 	s.meters = &meters{first: set.Timers.QuotaAllowance / 2, leads: s.parts.Leads, table: s.node.Table, tenants: map[string]*meter{}}
@@ -159,13 +160,13 @@
 
 func (s *Store) handleAccept(ctx context.Context, in *Accept, raw []byte) (*Accepted, error) {
 	r := in.Message
-	now := time.Now()
+	now := s.parts.Now()
 	r.Body = raw
-	r.Due = now.UnixMilli() + in.DelayMs
+	r.Due = now + in.DelayMs
 	if t := s.node.Table(); t != nil {
 		if route := t.Route(r.Host, r.Target); route != nil && route.RetentionS > 0 {
 			// The client sent it a little earlier; it is kept a little longer.
-			r.Expires = now.Add(settings.Seconds(route.RetentionS)).UnixMilli()
+			r.Expires = now + settings.Seconds(route.RetentionS).Milliseconds()
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -76,6 +76,7 @@
 	Network Network
 	MaxIdle int           // idle connections kept for one peer
 	Expire  time.Duration // an idle connection older than this is not used; 0: as the peer's Keep-Alive says
+	Opening time.Duration // how long opening a connection may take; 0: as long as the call
 	Repeat  bool          // calls may be sent twice: try again once when a kept connection breaks
 
 	mu   sync.Mutex
@@ -161,7 +162,7 @@
 	for {
 		c := p.take(addr)
 		if c == nil {
-			nc, err := p.Network.Dial(ctx, addr)
+			nc, err := p.dial(ctx, addr)
 			if err != nil {
 				return nil, &Error{"dial", addr, sent, err}
 			}
@@ -192,6 +193,15 @@
 	}
 }
 
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Opening > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.Opening)
+		defer cancel()
+	}
+	return p.Network.Dial(ctx, addr)
+}
+
 // keep decides whether a connection may serve another call.
 func keep(a *Answer, c *clientConn, expire time.Duration) bool {
 	if strings.EqualFold(a.Header.Get("Connection"), "close") || c.br.Buffered() > 0 {
