Failover of stores: those who wait report, one probe decides, fresh messages go round

Now an edge or a primary whose call has no answer after contact/40 reports the store, the steward probes it once for contact/24, calls are given up when another store leads, and messages that are free to choose avoid partitions that hang. Ruled out: a third copy of every message, which would answer without a gap but adds half again to the bytes between regions, the dearest price.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,7 +63,11 @@
 	sentAt    map[string]time.Time
 	sent      map[string]map[string]journal.Version
 
-	wake chan struct{}
+	wake    chan struct{}
+	probing map[string]bool
+	life    context.Context // of what the core does on its own
+	end     context.CancelFunc
+	tasks   sync.WaitGroup
 }
 
 // New opens the state on disk and makes the process.
@@ -72,8 +76,9 @@
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
 		heardFrom: map[string]time.Time{}, dead: map[string]time.Time{}, ready: map[int]int64{},
 		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), probing: map[string]bool{},
 	}
+	c.life, c.end = context.WithCancel(context.Background())
 	life := time.Now().UnixNano()
 	c.node = relay.Node{Name: set.NodeName, Role: "core", Address: c.self, Zone: set.Zone, Region: set.Region, Life: life}
 	c.journal = journal.New(set.NodeName+"/"+strconv.FormatInt(life, 36), 16*c.contact)
@@ -197,18 +202,18 @@
 		"/ping":     wire.Method(Ping),
 	}
 	server := &wire.Server{Handle: mux.Handle, Log: c.log}
-	var tasks sync.WaitGroup
 	for _, f := range []func(context.Context){
 		func(ctx context.Context) { _ = server.Serve(ctx, inner) },
 		c.start, c.chain.Tend, c.gossip, c.steward,
 	} {
-		tasks.Go(func() { f(ctx) })
+		c.tasks.Go(func() { f(c.life) })
 	}
 	<-ctx.Done()
 	stop, cancel := context.WithTimeout(context.Background(), c.contact/8)
 	defer cancel()
 	server.Drain(stop)
-	tasks.Wait()
+	c.end()
+	c.tasks.Wait()
 	return nil
 }
 
@@ -289,7 +294,7 @@
 	for n := int64(1); ; n++ {
 		c.registry.put(Item{Key: relay.PrefixNode + c.node.Name, Version: journal.Version{Major: c.node.Life, Minor: n}, Value: journal.Encode(c.node)})
 		for _, peer := range c.peers() {
-			go c.exchange(ctx, peer)
+			c.tasks.Go(func() { c.exchange(ctx, peer) })
 		}
 		if time.Since(began) > c.contact {
 			for _, key := range c.registry.expire(3*keepalive, c.contact*3/4) {
@@ -344,7 +349,7 @@
 	defer cancel()
 	errs := make(chan error, len(peers))
 	for _, peer := range peers {
-		go func() {
+		c.tasks.Go(func() {
 			err := c.pool.Post(ctx, peer, "/exchange", ex, nil, nil)
 			if err != nil {
 				c.mu.Lock()
@@ -355,7 +360,7 @@
 				}
 			}
 			errs <- err
-		}()
+		})
 	}
 	held := 1
 	var bad error
@@ -379,19 +384,11 @@
 var errLively = errors.New("a core that is not silent did not take the news")
 
 func (c *Core) handleNode(_ context.Context, n *relay.Node, _ []byte) (*struct{}, error) {
-	before, _, _, known := c.registry.get(relay.PrefixNode + n.Name)
-	changed := c.registry.put(Item{Key: relay.PrefixNode + n.Name, Version: journal.Version{Major: n.Life, Minor: n.Sequence}, Value: journal.Encode(n)})
-	if changed {
-		if known {
-			_ = before
-		}
+	it := Item{Key: relay.PrefixNode + n.Name, Version: journal.Version{Major: n.Life, Minor: n.Sequence}, Value: journal.Encode(n)}
+	if c.registry.put(it) {
 		c.nudge()
 		// A change is told at once; what is lost goes with the next exchange.
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), c.contact/8)
-			defer cancel()
-			_ = c.spread(ctx, Exchange{From: c.self, Items: []Item{{Key: relay.PrefixNode + n.Name, Version: journal.Version{Major: n.Life, Minor: n.Sequence}, Value: journal.Encode(n)}}})
-		}()
+		c.tasks.Go(func() { _ = c.spread(c.life, Exchange{From: c.self, Items: []Item{it}}) })
 	}
 	return &struct{}{}, nil
 }
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -15,9 +15,9 @@
 	Refused bool   `json:"refused"` // its machine answers that nothing listens
 }
 
-func (c *Core) handleSuspect(ctx context.Context, in *Suspicion, _ []byte) (*struct{}, error) {
+func (c *Core) handleSuspect(_ context.Context, in *Suspicion, _ []byte) (*struct{}, error) {
 	if _, held := c.duty.Held(); held {
-		go c.probe(context.WithoutCancel(ctx), in.Node)
+		c.tasks.Go(func() { c.probe(c.life, in.Node) })
 	}
 	return &struct{}{}, nil
 }
@@ -31,11 +31,18 @@
 	}
 	c.mu.Lock()
 	_, known := c.dead[name]
-	c.mu.Unlock()
-	if known {
+	if known || c.probing[name] {
+		c.mu.Unlock()
 		return
 	}
-	pctx, cancel := context.WithTimeout(ctx, c.contact/12)
+	c.probing[name] = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.probing, name)
+		c.mu.Unlock()
+	}()
+	pctx, cancel := context.WithTimeout(ctx, c.contact/24)
 	defer cancel()
 	began := time.Now()
 	err := c.pool.Post(pctx, n.Address, "/ping", struct{}{}, nil, nil)
@@ -205,7 +212,7 @@
 			continue
 		}
 		addr := cur.Stores[store].Address
-		go func() {
+		c.tasks.Go(func() {
 			hctx, cancel := context.WithTimeout(ctx, c.contact)
 			defer cancel()
 			var out Handover
@@ -221,6 +228,6 @@
 				return
 			}
 			c.nudge()
-		}()
+		})
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,12 +41,13 @@
 
 	mu      sync.Mutex
 	limited *configuration.Table // whose limits the quotas hold
+	hangs   map[int]hang         // by partition
 }
 
 // New makes the process.
 func New(set *settings.Settings, network wire.Network, logger *log.Logger) *Edge {
 	e := &Edge{
-		set: set, log: logger, network: network, node: node.New(set, "edge", network, logger),
+		set: set, log: logger, network: network, node: node.New(set, "edge", network, logger), hangs: map[int]hang{},
 		bytes: quota.NewManager(quota.RequestBytes), time: quota.NewManager(quota.RequestTime), accepted: quota.NewManager(quota.Accepted),
 	}
 	// One tenant may have half of what this node's processor can do.
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -73,7 +73,7 @@
 			}
 			at = list[0]
 			for _, c := range list {
-				if !avoid[p.Partitions[c].Primary] {
+				if !avoid[p.Partitions[c].Primary] && !e.hanging(c, p) {
 					at = c
 					break
 				}
@@ -82,14 +82,17 @@
 		primary := p.Partitions[at].Primary
 		addr := p.Stores[primary].Address
 		tctx, cancel := context.WithTimeout(ctx, contact/5)
+		stop := e.attend(tctx, cancel, at, p)
 		left := delay - time.Since(received)
 		wait := contact / 6
 		if d, ok := ctx.Deadline(); ok {
 			wait = min(wait, time.Until(d))
 		}
 		err := e.node.Pool.Post(tctx, addr, "/accept", store.Accept{Partition: at, Message: *r, DelayMs: max(0, left.Milliseconds()+1), WaitMs: wait.Milliseconds()}, r.Body, nil)
+		stop()
 		cancel()
 		if err == nil {
+			e.hang(at, 0)
 			return at, nil
 		}
 		last = err
@@ -128,6 +131,59 @@
 	}
 }
 
+// attend watches over a call to the primary of a partition: it reports a store
+// that does not answer soon, and gives the call up once another store leads.
+func (e *Edge) attend(ctx context.Context, giveUp context.CancelFunc, at int, p *core.Placement) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		soon := time.NewTimer(e.set.Contact() / 40)
+		defer soon.Stop()
+		for {
+			moved := e.node.Moved()
+			if now := e.node.Placement(); now.Partitions[at].Primary != p.Partitions[at].Primary {
+				giveUp()
+				return
+			}
+			select {
+			case <-moved:
+			case <-soon.C:
+				e.hang(at, p.Partitions[at].Epoch)
+				e.node.Suspect(p.Partitions[at].Primary, false)
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// hang notes that a partition does not answer in this epoch; epoch 0 that it does.
+func (e *Edge) hang(at int, epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if epoch == 0 {
+		delete(e.hangs, at)
+	} else {
+		e.hangs[at] = hang{epoch, time.Now()}
+	}
+}
+
+// hang is a partition that did not answer.
+type hang struct {
+	epoch int64
+	at    time.Time
+}
+
+// hanging tells whether fresh messages had better go elsewhere.
+func (e *Edge) hanging(at int, p *core.Placement) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h, ok := e.hangs[at]
+	return ok && h.epoch == p.Partitions[at].Epoch && time.Since(h.at) < e.set.Contact()/4
+}
+
 // ask brings a question about a message to the primary that has it.
 func (e *Edge) ask(ctx context.Context, path string, q store.Ask) (*wire.Answer, error) {
 	contact := e.set.Contact()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,9 @@
 	told     map[string]time.Time // suspicions reported
 	moved    chan struct{}        // closed at the next placement
 	beatNow  chan struct{}
+	life     context.Context // of the reports that the node sends on its own
+	end      context.CancelFunc
+	reports  sync.WaitGroup
 }
 
 // watchers is how many watchers a node beats to.
@@ -55,6 +58,7 @@
 		Self:    relay.Node{Name: set.NodeName, Role: role, Address: set.Internal(), Zone: set.Zone, Region: set.Region, Life: life},
 		cores:   map[string]string{}, told: map[string]time.Time{}, moved: make(chan struct{}), beatNow: make(chan struct{}, 1),
 	}
+	n.life, n.end = context.WithCancel(context.Background())
 	n.follower = &relay.Follower{Self: n.Self, Journal: n.Journal, Pool: n.Pool, Cores: set.Cores(), Contact: set.Contact(), Log: logger}
 	n.Journal.Fold(n.hear)
 	return n
@@ -116,6 +120,8 @@
 	tasks.Go(func() { n.follower.Run(ctx) })
 	tasks.Go(func() { n.beat(ctx) })
 	tasks.Wait()
+	n.end()
+	n.reports.Wait()
 }
 
 // Reload takes over what may change while the process runs.
@@ -162,11 +168,11 @@
 		self.Sequence, self.Leaving = n.sequence, n.leaving
 		n.mu.Unlock()
 		for _, w := range ring.Watchers(n.Self.Name, n.Cores(), watchers) {
-			go func() {
+			n.reports.Go(func() {
 				bctx, cancel := context.WithTimeout(ctx, every*2)
 				defer cancel()
 				_ = n.Pool.Post(bctx, w, "/beat", self, nil, nil)
-			}()
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -185,15 +191,15 @@
 		n.told[name] = time.Now()
 	}
 	n.mu.Unlock()
-	if recent {
+	if recent || n.life.Err() != nil {
 		return
 	}
 	for _, c := range n.Cores() {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Contact()/8)
+		n.reports.Go(func() {
+			ctx, cancel := context.WithTimeout(n.life, n.Settings.Contact()/8)
 			defer cancel()
 			_ = n.Pool.Post(ctx, c, "/suspect", core.Suspicion{Node: name, Refused: refused}, nil, nil)
-		}()
+		})
 	}
 }
 
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -112,13 +112,16 @@
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(s.ctx, s.Lease())
 		var out Copied
+		soon := time.AfterFunc(s.Contact/40, func() { s.Suspect(l.peer, false) })
 		err := s.Pool.Post(ctx, addr, "/copy", batch, raw, &out)
+		soon.Stop()
 		cancel()
 		if err != nil {
 			if failed.IsZero() && s.ctx.Err() == nil {
 				s.Log.Printf("copy: %s: %v", l.peer, err)
 			}
 			failed = time.Now()
+			s.Suspect(l.peer, wire.Refused(err))
 			l.nudge()
 			continue
 		}
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -42,6 +42,7 @@
 func open(t *testing.T) *Set {
 	t.Helper()
 	s := &Set{Self: "me", Contact: 4 * time.Second, Log: log.New(io.Discard, "", 0), Keep: time.Minute,
+		Suspect: func(string, bool) {}, Report: func(context.Context, core.InStep) error { return nil },
 		Pool: &wire.Pool{Network: wire.Network{Dial: func(context.Context, string) (net.Conn, error) { return nil, io.EOF }}}}
 	if err := s.Open(t.TempDir()); err != nil {
 		t.Fatal(err)
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -29,6 +29,7 @@
 	Keep    time.Duration // how long an ended state is kept
 	Log     *log.Logger
 	Report  func(ctx context.Context, in core.InStep) error
+	Suspect func(store string, refused bool) // reports a store that does not answer
 	// Bounds of what is kept, in bytes; 0 means none. A store over them takes
 	// no new messages.
 	MaxDisk, MaxMemory int64
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -39,7 +39,7 @@
 	s := &Store{set: set, log: logger, network: network, node: node.New(set, "store", network, logger)}
 	s.parts = &partition.Set{
 		Self: set.NodeName, Pool: s.node.Pool, Contact: set.Contact(), Log: logger,
-		Keep: settings.Seconds(set.Timers.StatusTtlS), Report: s.node.Report,
+		Keep: settings.Seconds(set.Timers.StatusTtlS), Report: s.node.Report, Suspect: s.node.Suspect,
 		MaxDisk: set.Limits.DiskMb << 20 * 3 / 4, MaxMemory: set.Limits.MemoryMb << 20 / 3,
 	}
 	if err := s.parts.Open(set.DataPath); err != nil {
