Fewer bytes between regions: exchanges without known values, copies without idle partitions

Now a value travels when it changed or the receiver asks for it; a partition with nothing to send is left out of a batch until its lease is to be renewed; ended records carry less; deliveries wait 100 ms for the own zone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -318,14 +318,18 @@
 		c.sent[peer] = sent
 	}
 	c.mu.Unlock()
-	items, now := c.registry.since(after, func(key string, v journal.Version) bool {
+	items, now := c.registry.since(after, func(key string) journal.Version {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return sent[key] != v
+		if v, ok := sent[key]; ok {
+			return v
+		}
+		return journal.Version{Major: -1}
 	})
 	ctx, cancel := context.WithTimeout(ctx, c.contact/8)
 	defer cancel()
-	if err := c.pool.Post(ctx, peer, "/exchange", Exchange{From: c.self, Items: items}, nil, nil); err != nil {
+	var out Exchanged
+	if err := c.pool.Post(ctx, peer, "/exchange", Exchange{From: c.self, Items: items}, nil, &out); err != nil {
 		c.mu.Lock()
 		delete(c.sent, peer) // it may have started anew
 		delete(c.sentAt, peer)
@@ -338,6 +342,9 @@
 	for _, it := range items {
 		sent[it.Key] = it.Version
 	}
+	for _, key := range out.Want {
+		delete(sent, key)
+	}
 	c.mu.Unlock()
 }
 
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"saltreel/internal/journal"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"saltreel/internal/relay"
 )
@@ -149,3 +153,58 @@
 		}
 	}
 }
+
+func TestExchangesCarryValuesOnceAndMendWhatWasMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := func(name string) *Core {
+			return &Core{registry: &registry{entries: map[string]*entry{}, journal: journal.New(name, time.Hour)}}
+		}
+		a, b := core("a"), core("b")
+		beat := func(seq int64, state string) Item {
+			return Item{Key: "instance/i", Version: journal.Version{Major: seq}, Value: journal.Encode(map[string]any{"oper-state": state, "call-seq": seq})}
+		}
+		sent := map[string]journal.Version{}
+		tell := func(arrives bool) (values int) {
+			time.Sleep(time.Second)
+			items, _ := a.registry.since(time.Time{}, func(key string) journal.Version {
+				if v, ok := sent[key]; ok {
+					return v
+				}
+				return journal.Version{Major: -1}
+			})
+			for _, it := range items {
+				sent[it.Key] = it.Version
+				if it.Value != nil {
+					values++
+				}
+			}
+			if arrives {
+				out, _ := b.handleExchange(t.Context(), &Exchange{Items: items}, nil)
+				for _, key := range out.Want {
+					delete(sent, key)
+				}
+			}
+			return values
+		}
+		a.registry.put(beat(1, "ready"))
+		if n := tell(true); n != 1 {
+			t.Errorf("the first exchange carries %d values", n)
+		}
+		a.registry.put(beat(2, "ready"))
+		if n := tell(true); n != 0 {
+			t.Errorf("an unchanged value is sent again")
+		}
+		a.registry.put(beat(3, "draining"))
+		tell(false) // lost, though the sender thinks otherwise
+		a.registry.put(beat(4, "draining"))
+		tell(true)
+		tell(true)
+		raw, _, _, _ := b.registry.get("instance/i")
+		if !strings.Contains(string(raw), "draining") {
+			t.Errorf("the change that was missed is not known: %s", raw)
+		}
+		if n := tell(true); n != 0 {
+			t.Errorf("a known value is sent again")
+		}
+	})
+}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -15,6 +15,7 @@
 // entry is what the cores know in memory of one handler or one of our nodes.
 type entry struct {
 	version journal.Version
+	changed journal.Version // when the value last changed but for the numbers of each beat
 	value   json.RawMessage // null once gone
 	seen    time.Time
 	told    time.Time // when this core last changed or saw it, for exchanges
@@ -35,6 +36,7 @@
 	Version journal.Version `json:"version"`
 	AgeMs   int64           `json:"age"`
 	Value   json.RawMessage `json:"value,omitempty"`
+	Changed journal.Version `json:"changed"` // when the value last changed, as the sender knows
 }
 
 // goneMinor is the minor version of an entry that is gone for good.
@@ -69,7 +71,11 @@
 	}
 	changed := !sameValue(e.value, it.Value)
 	e.value, e.told = it.Value, now
+	if e.changed.Less(it.Changed) {
+		e.changed = it.Changed
+	}
 	if changed {
+		e.changed = it.Version
 		r.journal.Append(journal.Event{Key: it.Key, Version: it.Version, Value: it.Value})
 	}
 	return changed
@@ -100,16 +106,16 @@
 }
 
 // since lists the entries seen or changed after a moment, and the moment now.
-// Only those in full carry their value.
-func (r *registry) since(after time.Time, full func(key string, v journal.Version) bool) ([]Item, time.Time) {
+// Those that did not change after the version that was sent carry no value.
+func (r *registry) since(after time.Time, sent func(key string) journal.Version) ([]Item, time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	var out []Item
 	for k, e := range r.entries {
 		if e.told.After(after) {
-			it := Item{Key: k, Version: e.version, AgeMs: now.Sub(e.seen).Milliseconds()}
-			if full(k, e.version) {
+			it := Item{Key: k, Version: e.version, AgeMs: now.Sub(e.seen).Milliseconds(), Changed: e.changed}
+			if sent(k).Less(e.changed) {
 				it.Value = e.value
 			}
 			out = append(out, it)
@@ -170,7 +176,7 @@
 		}
 		if silent > bound {
 			e.version.Minor++
-			e.value = json.RawMessage("null")
+			e.value, e.changed = json.RawMessage("null"), e.version
 			r.journal.Append(journal.Event{Key: k, Version: e.version, Value: e.value})
 			out = append(out, k)
 		}
@@ -187,16 +193,29 @@
 
 // Exchanged answers an exchange.
 type Exchanged struct {
-	Items []Item `json:"items,omitempty"`
+	Items []Item   `json:"items,omitempty"`
+	Want  []string `json:"want,omitempty"` // keys whose value is not known here
+}
+
+// lacks tells whether an item without its value says more than is known here.
+func (r *registry) lacks(it Item) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[it.Key]
+	return it.Value == nil && (e == nil || e.changed.Less(it.Changed))
 }
 
 func (c *Core) handleExchange(_ context.Context, in *Exchange, _ []byte) (*Exchanged, error) {
+	out := &Exchanged{}
 	for _, it := range in.Items {
+		if c.registry.lacks(it) {
+			out.Want = append(out.Want, it.Key)
+			continue
+		}
 		c.registry.put(it)
 	}
-	out := &Exchanged{}
 	if in.All {
-		out.Items, _ = c.registry.since(time.Time{}, func(string, journal.Version) bool { return true })
+		out.Items, _ = c.registry.since(time.Time{}, func(string) journal.Version { return journal.Version{Major: -1} })
 	}
 	return out, nil
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -464,7 +464,7 @@
 		}
 		score := float64(t.busy) / float64(limit)
 		if far {
-			if near && now.Sub(it.since) < contact/100 {
+			if near && now.Sub(it.since) < contact/40 {
 				wait = min(wait, contact/100)
 				continue
 			}
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -141,6 +141,12 @@
 		if p.primary != s.Self || p.backup != peer {
 			continue
 		}
+		// Bytes between regions are dear: a partition with nothing to send is
+		// left out until its lease is to be renewed.
+		quiet := len(p.dirty)+len(p.extra) == 0 && p.paired && (!p.closed || p.released)
+		if quiet && time.Until(p.lease) > s.Lease()*3/4 {
+			continue
+		}
 		sh := Share{Number: p.number, Epoch: p.epoch, Release: p.closed}
 		ss := sentShare{p: p, epoch: p.epoch, whole: true, release: p.closed}
 		for _, r := range p.dirty {
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"saltreel/internal/core"
 )
@@ -44,7 +45,7 @@
 func openDisk(dir string, warn func(format string, args ...any)) (*disk, []*Record, Fence, error) {
 	path := filepath.Join(dir, "store.db")
 	d, records, fence, err := tryDisk(path)
-	if err == nil || errors.Is(err, os.ErrPermission) || errors.Is(err, bbolt.ErrTimeout) {
+	if err == nil || errors.Is(err, os.ErrPermission) || errors.Is(err, bbolterrors.ErrTimeout) {
 		return d, records, fence, err
 	}
 	aside := path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
--- a/internal/partition/record.go
+++ b/internal/partition/record.go
@@ -27,9 +27,9 @@
 // goroutines do not change: a change makes a new one.
 type Record struct {
 	ID        string `json:"id"`
-	Sequence  int64  `json:"q"` // of the last change
-	Epoch     int64  `json:"e"` // under which it was made
-	Order     int64  `json:"o"` // the place among the messages of its partition
+	Sequence  int64  `json:"q"`           // of the last change
+	Epoch     int64  `json:"e"`           // under which it was made
+	Order     int64  `json:"o,omitempty"` // the place among the messages of its partition
 	State     State  `json:"st,omitempty"`
 	Tenant    string `json:"t,omitempty"`
 	Method    string `json:"m,omitempty"`
@@ -63,7 +63,7 @@
 	n := *r
 	n.State, n.Seal, n.Expires = state, seal, expires
 	if state != Dead {
-		n = Record{ID: r.ID, Partition: r.Partition, Order: r.Order, State: state, Tenant: r.Tenant, Host: r.Host, Seal: seal, Expires: expires}
+		n = Record{ID: r.ID, Partition: r.Partition, State: state, Tenant: r.Tenant, Seal: seal, Expires: expires}
 	}
 	return &n
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -301,7 +301,7 @@
 	if raw != nil {
 		body = append(append(body, '\n'), raw...)
 	}
-	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Header: []string{"Content-Type", "application/json"}, Body: body})
+	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Body: body})
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -352,6 +352,10 @@
 			}
 			return Problem(500, err.Error())
 		}
-		return JSON(200, out)
+		body, err := json.Marshal(out)
+		if err != nil {
+			return Problem(500, err.Error())
+		}
+		return &Response{Status: 200, Body: body} // no header that our own processes do not need
 	}
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"net"
@@ -449,8 +448,3 @@
 func Problem(status int, why string) *Response {
 	return JSON(status, map[string]string{"error-text": why})
 }
-
-// Problemf is Problem with a format.
-func Problemf(status int, format string, args ...any) *Response {
-	return Problem(status, fmt.Sprintf(format, args...))
-}
