Ids belong to one tenant; tests for a frozen steward and a dead relay

A message with the id of another tenant's message was answered 202 without being kept; it is refused with 400 now, before anything is taken.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -373,3 +373,58 @@
 		}
 	})
 }
+
+func TestAFrozenStewardIsReplacedAndItsWritesAreRefused(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		before, err := w.status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, z := range zones { // whichever holds the duty, a store is lost while it is cut off
+			ip := w.nodes["core-"+z].ip
+			w.net.cut(ip, true)
+			victim := "store-" + zones[(i+1)%3]
+			w.during(plain, func() {
+				time.Sleep(time.Second)
+				w.kill(victim)
+				time.Sleep(6 * time.Second)
+			})
+			w.net.cut(ip, false)
+			w.start(victim, false)
+			time.Sleep(6 * time.Second)
+		}
+		after, err := w.status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, p := range after.Placement.Partitions {
+			if p.Epoch <= before.Placement.Partitions[i].Epoch || !p.InStep {
+				t.Errorf("partition %d: %+v, before %+v", i, p, before.Placement.Partitions[i])
+			}
+		}
+		if len(after.View.Members) != 3 {
+			t.Errorf("view: %+v", after.View)
+		}
+	})
+}
+
+func TestNewsGoRoundADeadRelay(t *testing.T) {
+	run(t, func(w *world) {
+		w.service("plain", "z1")
+		w.configure(options{keys: `"key-one","spare"`})
+		w.net.cut("10.2.0.2", true) // the store of z2: its edge follows it
+		time.Sleep(100 * time.Millisecond)
+		w.version++
+		if err := w.operator().PutConfiguration(context.Background(), w.configuration(w.version, options{}), int64(w.version-1)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second) // config-apply-ms
+		for _, z := range zones {
+			if a := w.send(z, "/plain/", "spare-"+z, "Saltreel-Key", "spare"); a.Status != 401 {
+				t.Errorf("the removed key is in force at %s: %d", z, a.Status)
+			}
+		}
+	})
+}
--- a/internal/cluster/path_test.go
+++ b/internal/cluster/path_test.go
@@ -70,7 +70,12 @@
 		if err != nil || a.Status != 413 {
 			t.Errorf("large body: %v %v", a, err)
 		}
-		name := w.accept("z1", "/plain/", "a7")
+		name := w.accept("z1", "/ordered/", "a7", "Saltreel-Order-Key", "k")
+		for range 3 { // the same id again is the same message
+			if a := w.send("z1", "/ordered/", "a7", "Saltreel-Order-Key", "k"); a.Status != 202 || a.Header.Get("Saltreel-Message-Name") != name {
+				t.Errorf("the same message again: %d %v", a.Status, a.Header)
+			}
+		}
 		a, err = w.do(w.nodes["edge-z2"].ip+":80", &wire.Call{Method: "GET", Target: "/v1/message/" + name, Host: "app.example", Header: []string{"Saltreel-Key", "key-two"}}, time.Second)
 		if err != nil || a.Status != 404 {
 			t.Errorf("another tenant's question: %v %v", a, err)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -238,6 +238,8 @@
 	switch {
 	case err == nil:
 		return &wire.Response{Status: 202, Header: []string{"Saltreel-Message-Name", client.Name(n, m.ID)}}, waited()
+	case errors.Is(err, errTaken):
+		return wire.Problem(400, err.Error()), waited()
 	case errors.Is(err, errNotTaken):
 		e.log.Printf("edge: 503 to %s: %v", m.ID, err)
 		return later(wire.Problem(503, "the message was not taken: "+err.Error()), e.set.Contact()/8), waited()
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -20,6 +20,8 @@
 	errNotTaken = errors.New("no store could take the message")
 	// errUnclear: a store may have taken it.
 	errUnclear = errors.New("no store answered in time")
+	// errTaken: the id belongs to a message of another tenant.
+	errTaken = errors.New("the attempt id is in use")
 )
 
 // candidates are the partitions that may take a message, the nearest first.
@@ -97,6 +99,9 @@
 		}
 		last = err
 		code := wire.StatusOf(err)
+		if code == 409 {
+			return 0, errTaken
+		}
 		if code == 421 || code == 503 || wire.NotSent(err) {
 			avoid[primary] = true
 			if wire.NotSent(err) {
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -93,11 +93,17 @@
 	}
 }
 
-func TestAFullStoreTakesNothing(t *testing.T) {
+func TestAPrimaryRefusesWhatItMustNotTake(t *testing.T) {
 	s := open(t)
 	s.Place(core.Placement{Version: 2, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
 		Partitions: []core.Partition{{Epoch: 6, Primary: "me", Backup: "other"}}})
 	s.mu.Lock()
+	s.put(s.parts[0], &Record{ID: "z", Tenant: "a"})
+	s.mu.Unlock()
+	if err := s.Accept(t.Context(), 0, &Record{ID: "z", Tenant: "b"}); wire.StatusOf(err) != 409 {
+		t.Errorf("another tenant's id: %v", err)
+	}
+	s.mu.Lock()
 	s.MaxMemory = 1
 	s.held = 2
 	s.measure()
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -300,6 +300,10 @@
 				return moved(n)
 			}
 		}
+		if old := p.records[r.ID]; old != nil && old.Tenant != r.Tenant {
+			s.mu.Unlock()
+			return &wire.Status{Code: 409, Text: "another tenant's message has this id"}
+		}
 		w := p.waiting[r.ID]
 		if p.records[r.ID] != nil && w == nil { // taken before
 			certain := p.verified
