A damaged database file is noticed wherever it is damaged

Cause: with the list of free pages left out of the file, the library reads all pages in a goroutine of its own when it opens it, and a damaged page ended the process before the file could be moved aside. The list is kept in the file again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,9 +95,9 @@
 	if set.Bootstrap {
 		founders = set.Cores()
 	}
-	if err := c.chain.Open(db, founders); err != nil {
+	if err := c.read(founders); err != nil {
 		db.Close()
-		return nil, err
+		return nil, fmt.Errorf("read %s: %w", db.Path(), err)
 	}
 	c.duty = &ballot.Duty{Name: "steward", Self: c.self, Lease: c.contact / 4, Call: c.callDuty}
 	return c, nil
@@ -109,7 +109,7 @@
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return nil, fmt.Errorf("open %s: %w", path, err)
 	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
 	if err != nil {
 		return nil, fmt.Errorf("open %s: %w", path, err)
 	}
@@ -121,6 +121,16 @@
 	return db, nil
 }
 
+// read reads the state on disk. The database panics on some kinds of damage.
+func (c *Core) read(founders []string) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the file is damaged: %v", r)
+		}
+	}()
+	return c.chain.Open(c.db, founders)
+}
+
 func (c *Core) callDuty(ctx context.Context, voter string, d ballot.DutyCall) (r ballot.DutyReply, err error) {
 	if voter == c.self {
 		return c.voter.HandleDuty(d), nil
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -125,7 +125,15 @@
 		t.Fatalf("opened again: %v", err)
 	}
 	d.db.Close()
-	if err := os.WriteFile(filepath.Join(dir, "store.db"), []byte(strings.Repeat("damage", 4096)), 0o600); err != nil {
+	path := filepath.Join(dir, "store.db")
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 2 * os.Getpagesize(); i < len(raw); i++ { // all but the first two pages
+		raw[i] = byte(i * 7)
+	}
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	warned := ""
