--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -111,7 +111,8 @@
 func Choose(ctx context.Context, decree int64, who string, round int64, value json.RawMessage, voters []string,
 	call func(ctx context.Context, voter string, c Call) (Reply, error)) (json.RawMessage, error) {
 	n := Number{round, who}
-	replies := ask(ctx, voters, Call{Decree: decree, Number: n}, call)
+	yes := func(r Reply) bool { return r.Granted }
+	replies := ask(ctx, voters, Call{Decree: decree, Number: n}, yes, call)
 	granted, best := 0, Number{}
 	for _, r := range replies {
 		if r.Granted {
@@ -125,7 +126,7 @@
 		return nil, fmt.Errorf("prepare decree %d: %w", decree, ErrLost)
 	}
 	granted = 0
-	for _, r := range ask(ctx, voters, Call{Decree: decree, Number: n, Value: value}, call) {
+	for _, r := range ask(ctx, voters, Call{Decree: decree, Number: n, Value: value}, yes, call) {
 		if r.Granted {
 			granted++
 		}
@@ -136,8 +137,9 @@
 	return value, nil
 }
 
-// ask calls all voters at once and returns the answers there were.
-func ask[C, R any](ctx context.Context, voters []string, c C, call func(context.Context, string, C) (R, error)) []R {
+// ask calls all voters at once. It returns the answers there were once a
+// majority has granted the call, or all have answered.
+func ask[C, R any](ctx context.Context, voters []string, c C, granted func(R) bool, call func(context.Context, string, C) (R, error)) []R {
 	got := make(chan *R, len(voters))
 	for _, voter := range voters {
 		go func() {
@@ -150,9 +152,17 @@
 		}()
 	}
 	var out []R
+	yes := 0
 	for range voters {
-		if r := <-got; r != nil {
-			out = append(out, *r)
+		r := <-got
+		if r == nil {
+			continue
+		}
+		out = append(out, *r)
+		if granted(*r) {
+			if yes++; yes*2 > len(voters) {
+				break
+			}
 		}
 	}
 	return out
@@ -226,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.Lease/2)
 	defer cancel()
 	granted := 0
-	replies := ask(ctx, d.Voters, DutyCall{d.Name, d.Self, term, d.Lease.Milliseconds()}, d.Call)
+	replies := ask(ctx, d.Voters, DutyCall{d.Name, d.Self, term, d.Lease.Milliseconds()}, func(r DutyReply) bool { return r.Granted }, d.Call)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range replies {
@@ -238,5 +248,14 @@
 	if granted*2 > len(d.Voters) {
 		// A little less than was granted, for clocks that run apart.
 		d.term, d.until = term, began.Add(d.Lease*9/10)
+	} else if !held && granted > 0 {
+		// Lost: those that granted it may grant it to another at once.
+		for _, voter := range d.Voters {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Lease/2)
+				defer cancel()
+				_, _ = d.Call(ctx, voter, DutyCall{d.Name, d.Self, term, 0})
+			}()
+		}
 	}
 }
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -48,6 +48,7 @@
 	Sequence int64     `json:"sequence"`
 	Key      string    `json:"key,omitempty"`
 	Value    []byte    `json:"value,omitempty"`
+	All      bool      `json:"all,omitempty"` // Whole is there, even if it is empty
 	Whole    Documents `json:"whole,omitempty"`
 }
 
@@ -236,7 +237,7 @@
 		c.view, c.active = p.View, false
 	}
 	docs := Documents{}
-	if p.Whole == nil {
+	if !p.All {
 		for k, v := range c.docs {
 			docs[k] = v
 		}
@@ -251,7 +252,7 @@
 	c.sequence = p.Sequence
 	err := c.db.Update(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(bucketDocs)
-		if p.Whole != nil {
+		if p.All {
 			for k := range c.docs {
 				if err := b.Delete([]byte(k)); err != nil {
 					return err
@@ -290,13 +291,10 @@
 			if !out.Gap {
 				break
 			}
-			if p.Whole != nil {
+			if p.All {
 				return fmt.Errorf("pass down the chain: %s does not take the whole state", next)
 			}
-			p.Whole = c.docs
-			if p.Whole == nil {
-				p.Whole = Documents{}
-			}
+			p.All, p.Whole = true, c.docs
 		}
 		c.met(next)
 	}
@@ -330,7 +328,7 @@
 	}
 	fresh := p.View.Number == view.Number && active
 	switch {
-	case p.Whole != nil:
+	case p.All:
 		if err := c.apply(*p); err != nil {
 			return nil, err
 		}
@@ -450,7 +448,10 @@
 		if time.Since(started) < c.Contact/2 {
 			continue
 		}
-		if quiet || view.at(c.Self) == 0 && len(view.Members) < len(c.Voters()) {
+		// A ballot that somebody began must come to an end: until then no
+		// majority can say that this view is the newest.
+		begun := c.Voter.Accepted(view.Number + 1)
+		if quiet || begun || view.at(c.Self) == 0 && len(view.Members) < len(c.Voters()) {
 			c.mend(ctx, view)
 		}
 	}
@@ -517,7 +518,8 @@
 			}
 		}
 	}
-	if view.at(c.Self) < 0 || len(next.Members)*2 <= len(voters) || slices.Equal(next.Members, view.Members) || next.at(c.Self) < 0 {
+	same := slices.Equal(next.Members, view.Members) && !c.Voter.Accepted(next.Number)
+	if view.at(c.Self) < 0 || len(next.Members)*2 <= len(voters) || same || next.at(c.Self) < 0 {
 		return
 	}
 	if i := next.at(c.Self); i > 0 {
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -97,7 +98,8 @@
 			continue
 		}
 		c.duty.Voters = c.chain.Voters()
-		if !nudged {
+		// Not all candidates ask at the same moment for a vacant duty.
+		if _, held := c.duty.Held(); !nudged && (held || rand.IntN(len(c.duty.Voters)+1) == 0) {
 			c.duty.Round(ctx, c.Placement().Term)
 		}
 		term, held := c.duty.Held()
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -28,6 +28,8 @@
 	until   time.Time
 	demand  float64       // messages since the last round
 	rate    float64       // smoothed demand a second
+	given   float64       // granted since the last round
+	granted float64       // smoothed grants a second
 	asking  chan struct{} // closed when the answer to the question under way is there
 	refused time.Time     // no use asking again before
 	meter   time.Time     // when the meter last answered
@@ -83,14 +85,14 @@
 	}
 }
 
-// alone lets a little through while the meter of a tenant is out of reach: a
-// part of its rate, for one window at most.
+// alone lets a little through while the meter of a tenant is out of reach, and
+// for two windows at most: no more than the meter gave this edge before.
 func (g *grants) alone(x *grant, t *configuration.Tenant, now time.Time) bool {
 	if now.Sub(x.meter) > quota.Window*2 {
 		return false
 	}
-	rate := max(x.rate, 1)
-	x.spare = min(rate/4, x.spare+rate*now.Sub(x.spareAt).Seconds())
+	rate := min(x.rate, x.granted)
+	x.spare = min(max(1, rate/4), x.spare+rate*now.Sub(x.spareAt).Seconds())
 	x.spareAt = now
 	if x.spare < 1 {
 		return false
@@ -115,6 +117,10 @@
 		for name, x := range g.tenants {
 			x.rate = x.rate*3/4 + x.demand/g.round().Seconds()/4
 			x.demand = 0
+			if x.given > 0 || now.Sub(x.meter) < g.round()*2 {
+				x.granted = x.granted*7/8 + x.given/g.round().Seconds()/8
+				x.given = 0
+			}
 			if x.rate < 0.01 {
 				x.rate = 0
 				if x.asking == nil && now.Sub(x.meter) > time.Minute {
@@ -181,6 +187,7 @@
 				}
 				given := out.Given[name]
 				x.left += given
+				x.given += given
 				x.until, x.meter = began.Add(quota.Window), now
 				if given < w {
 					x.refused = now.Add(min(g.round()/2, time.Duration(out.WaitMs[name])*time.Millisecond))
