--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -104,6 +104,7 @@
 timers.grace-s=6
 timers.status-ttl-s=120
 timers.origin-overshoot=1.1
+timers.quota-allowance=20
 some.field.from.later=1
 `, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.data)
 	s, err := settings.Parse(text)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,7 +51,7 @@
 	}
 	// One tenant may have half of what this node's processor can do.
 	e.time.Limit(quota.Entity{Tenant: quota.Default}, set.Limits.CpuShare*max(1, set.Limits.CoreCount)/2)
-	e.grants = &grants{node: e.node, accepted: e.accepted, tenants: map[string]*grant{}}
+	e.grants = &grants{node: e.node, tenants: map[string]*grant{}}
 	return e
 }
 
@@ -154,6 +154,13 @@
 	if e.limited != t {
 		e.limited = t
 		e.bytes.Replace(store.ByteLimits(t))
+		rates := map[quota.Entity]float64{}
+		for _, x := range t.TenantTable {
+			if x.RatePerS > 0 {
+				rates[quota.Entity{Tenant: x.Name}] = x.RatePerS
+			}
+		}
+		e.accepted.Replace(rates)
 	}
 }
 
@@ -175,9 +182,12 @@
 	// The answer goes out at once and tells X; then reads from the connection
 	// stop for as long.
 	x, by := e.measure(m, route, r, wait)
+	shared := r.Conn.Shared(m.Tenant)
 	if x > 0 {
-		res.Header = append(res.Header, "Saltreel-Throttle-Ms", strconv.FormatInt(x.Milliseconds(), 10))
-		r.Conn.Hold(by.Hold(x))
+		res.Header = append(res.Header, "Saltreel-Throttle-Ms", strconv.FormatInt(min(x, quota.Window).Milliseconds(), 10))
+		if !shared { // a hold must not make other tenants wait
+			r.Conn.Hold(by.Hold(x))
+		}
 	}
 	return res
 }
@@ -202,11 +212,16 @@
 	began := time.Now()
 	waited := func() time.Duration { return time.Since(began) + r.Read.Sub(r.Received) }
 	if tenant := table.Tenant(m.Tenant); tenant != nil && tenant.RatePerS > 0 {
+		// What is asked is recorded, then checked. The limit binds over all
+		// nodes, so here a grant decides, and X follows from what was granted.
+		m.Throttle = e.accepted.Record(m.Tenant, route.Name, 1)
 		if wait := e.grants.take(ctx, tenant); wait > 0 {
-			m.Throttle = min(quota.Window, max(wait, e.accepted.Record(m.Tenant, route.Name, 0)))
-			return later(wire.Problem(429, "tenant "+m.Tenant+" is over its limit"), max(wait, m.Throttle)), waited()
+			// The connection is held until the next grant only: the tenant is
+			// still owed its limit, also on the connections it has.
+			x := max(wait, e.grants.excess(tenant, e.accepted.Rate(m.Tenant, route.Name)))
+			m.Throttle = min(wait, x)
+			return later(wire.Problem(429, "tenant "+m.Tenant+" is over its limit"), x), waited()
 		}
-		m.Throttle = e.accepted.Record(m.Tenant, route.Name, 1)
 	}
 	deadline := m.Deadline
 	if deadline <= 0 {
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -16,8 +16,7 @@
 // all nodes together, so the meters on the stores give them out; the edge asks
 // ahead by demand, and what it does not use runs out.
 type grants struct {
-	node     *node.Node
-	accepted *quota.Manager
+	node *node.Node
 
 	mu      sync.Mutex
 	tenants map[string]*grant
@@ -39,6 +38,18 @@
 
 func (g *grants) round() time.Duration { return g.node.Settings.Contact() / 16 }
 
+// excess is the X of a tenant that was refused: what this edge observed of it
+// against what it was granted here, or its whole limit where nothing was.
+func (g *grants) excess(t *configuration.Tenant, observed float64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	bound := t.RatePerS
+	if x := g.tenants[t.Name]; x != nil && x.granted > 0 {
+		bound = min(bound, x.granted)
+	}
+	return quota.Throttle(observed, bound)
+}
+
 // take uses one grant; if there is none, it tells how long to wait.
 func (g *grants) take(ctx context.Context, t *configuration.Tenant) time.Duration {
 	for try := 0; ; try++ {
@@ -192,8 +203,6 @@
 				if given < w {
 					x.refused = now.Add(min(g.round()/2, time.Duration(out.WaitMs[name])*time.Millisecond))
 				}
-				// The grant is the bound of the local sensor.
-				g.accepted.Limit(quota.Entity{Tenant: name}, max(1, x.rate, given/g.round().Seconds()))
 			}
 		})
 	}
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -118,7 +118,17 @@
 		return 0
 	}
 	s.record(value, now)
-	return throttle(s.Rate(now), bound)
+	return Throttle(s.Rate(now), bound)
+}
+
+// Rate is what was observed of late, a second.
+func (m *Manager) Rate(tenant, route string) float64 {
+	now := time.Now()
+	s, _ := m.sensor(tenant, route, now)
+	if s == nil {
+		return 0
+	}
+	return s.Rate(now)
 }
 
 // Unrecord takes back what was recorded for something that did not happen.
@@ -137,9 +147,10 @@
 	return bound * (Samples - 1) * Window.Seconds(), ok
 }
 
-// Hold gives a channel that the reaper closes, once, after d.
+// Hold gives a channel that the reaper closes, once, after d, or after a
+// window where d is longer.
 func (m *Manager) Hold(d time.Duration) <-chan struct{} {
-	h := &held{until: time.Now().Add(d), released: make(chan struct{})}
+	h := &held{until: time.Now().Add(min(d, Window)), released: make(chan struct{})}
 	m.queue.add(h)
 	return h.released
 }
--- a/internal/quota/sensor.go
+++ b/internal/quota/sensor.go
@@ -74,14 +74,12 @@
 	return sum / span.Seconds()
 }
 
-// throttle is the X that brings an observed rate back to its bound:
+// Throttle is the X that brings an observed rate back to its bound:
 // O·W/(W+X) = T.
-func throttle(observed, bound float64) time.Duration {
+func Throttle(observed, bound float64) time.Duration {
 	if observed <= bound {
 		return 0
 	}
-	if bound <= 0 {
-		return Window
-	}
-	return min(Window, time.Duration((observed-bound)/bound*float64(Window)))
+	x := (observed - bound) / max(bound, 1e-3) * float64(Window)
+	return time.Duration(min(x, float64(Idle)))
 }
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -13,6 +13,7 @@
 // meters count the accepted messages of tenants over all nodes. The meter of a
 // tenant runs where the partition of its name is led; edges ask it for grants.
 type meters struct {
+	first float64 // what a new meter may give at once, well within quota-allowance
 	leads func(n int) bool
 	table func() *configuration.Table
 
@@ -60,11 +61,7 @@
 			out.Given[name] = want
 			continue
 		}
-		x := m.tenants[name]
-		if x == nil { // a new meter starts without burst: an earlier one may have spent it
-			x = &meter{filled: now}
-			m.tenants[name] = x
-		}
+		x := m.meter(name, now)
 		x.tokens = min(math.Max(1, tenant.BurstSize), x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds())
 		x.filled = now
 		give := min(math.Floor(x.tokens), math.Ceil(want))
@@ -76,3 +73,41 @@
 	}
 	return out, nil
 }
+
+// meter finds a tenant's meter. A new one starts almost without burst: an
+// earlier one, elsewhere, may have spent it.
+func (m *meters) meter(name string, now time.Time) *meter {
+	x := m.tenants[name]
+	if x == nil {
+		x = &meter{tokens: m.first, filled: now}
+		m.tenants[name] = x
+	}
+	return x
+}
+
+// tend starts the meters that belong here before anyone asks, so that they
+// have filled by then, and drops those that do not.
+func (m *meters) tend(ctx context.Context, every time.Duration, partitions func() int) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		t, n := m.table(), partitions()
+		if t == nil || n == 0 {
+			continue
+		}
+		m.mu.Lock()
+		for _, x := range t.TenantTable {
+			if m.leads(MeterPartition(x.Name, n)) {
+				m.meter(x.Name, time.Now())
+			} else {
+				delete(m.tenants, x.Name)
+			}
+		}
+		m.mu.Unlock()
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -51,7 +51,7 @@
 		Pool: &wire.Pool{Network: network},
 	}
 	s.deliver.Init()
-	s.meters = &meters{leads: s.parts.Leads, table: s.node.Table, tenants: map[string]*meter{}}
+	s.meters = &meters{first: set.Timers.QuotaAllowance / 2, leads: s.parts.Leads, table: s.node.Table, tenants: map[string]*meter{}}
 	s.node.Journal.Fold(s.hear)
 	return s, nil
 }
@@ -108,6 +108,7 @@
 	tasks.Go(func() { s.node.Run(life) })
 	tasks.Go(func() { s.deliver.Run(deliveries) })
 	tasks.Go(func() { s.bytes.Reap(life) })
+	tasks.Go(func() { s.meters.tend(life, s.set.Contact()/16, s.partitions) })
 	failed := make(chan error, 1)
 	tasks.Go(func() { failed <- s.parts.Run(life) })
 	s.log.Printf("store: started, disk %s", s.parts.Identity())
@@ -136,6 +137,14 @@
 	return <-failed
 }
 
+// partitions is how many there are, 0 before the placement is known.
+func (s *Store) partitions() int {
+	if p := s.node.Placement(); p != nil {
+		return len(p.Partitions)
+	}
+	return 0
+}
+
 // Accept hands a message to the primary of its partition; the body stands
 // behind it.
 type Accept struct {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -68,6 +68,19 @@
 	br     *bufio.Reader
 	hold   <-chan struct{}
 	drain  chan struct{}
+	users  map[string]bool
+}
+
+// Shared notes that a user sends on the connection, and tells whether more
+// than one has.
+func (c *Conn) Shared(user string) bool {
+	if c.users == nil {
+		c.users = map[string]bool{}
+	}
+	if len(c.users) < 2 {
+		c.users[user] = true
+	}
+	return len(c.users) > 1
 }
 
 // Hold stops reads from the connection after the current answer until ch is
