Voters change with the view, by disk; leavings are on disk before they are acknowledged

Cause: the voters were the three founders for good. A core with an emptied disk at its old address could head the old view with nothing. A DELETE of an instance unknown to a core that had just started was acknowledged and forgotten.

Only a core that holds everything may head. Draining and leaving are kept by a majority and f+1 cores, under versions that no beat can overtake; a core says nothing about handlers before a majority told it what it knows. Writes need f+1 members; refusals wait until what they rest on is held by the tail; a configuration taken earlier is acknowledged again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log"
 	"net/http"
@@ -34,6 +33,7 @@
 const (
 	docConfiguration = "configuration"
 	docPlacement     = "placement"
+	docTaken         = "taken" // which configurations were acknowledged
 )
 
 // Core is one core machine's process.
@@ -57,11 +57,12 @@
 	placement Placement
 	heardFrom map[string]time.Time // other cores
 	dead      map[string]time.Time // nodes found dead, and when
-	loaded    bool                 // the registry was fetched from a peer
+	loaded    bool                 // a majority of the voters told its registry
 	ready     map[int]int64        // partitions whose primary stopped, by epoch
 	handing   map[string]bool      // stores asked to stop partitions
 	sentAt    map[string]time.Time
 	sent      map[string]map[string]journal.Version
+	kept      map[string]int64 // leavings on this disk: 1 draining, 2 gone
 
 	wake    chan struct{}
 	probing map[string]bool
@@ -75,7 +76,7 @@
 	c := &Core{
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
 		heardFrom: map[string]time.Time{}, dead: map[string]time.Time{}, ready: map[int]int64{},
-		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{},
+		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{}, kept: map[string]int64{},
 		wake: make(chan struct{}, 1), probing: map[string]bool{},
 	}
 	c.life, c.end = context.WithCancel(context.Background())
@@ -89,8 +90,12 @@
 		return nil, err
 	}
 	c.db = db
+	db.MaxBatchDelay = batchDelay
 	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 4)}
-	c.chain = &chain.Chain{Self: c.self, Pool: c.pool, Contact: c.contact, Log: logger, Voter: c.voter, Committed: c.committed}
+	c.chain = &chain.Chain{
+		Self: chain.Member{Address: c.self}, Losses: int(set.FaultTolerance.HostFailures), Pool: c.pool, Contact: c.contact, Log: logger,
+		Voter: c.voter, Committed: c.committed, Others: c.others, Ready: c.isLoaded,
+	}
 	var founders []string
 	if set.Bootstrap {
 		founders = set.Cores()
@@ -99,6 +104,7 @@
 		db.Close()
 		return nil, fmt.Errorf("read %s: %w", db.Path(), err)
 	}
+	c.node.Disk = c.chain.Self.Disk
 	c.duty = &ballot.Duty{Name: "steward", Self: c.self, Lease: c.contact / 4, Call: c.callDuty}
 	return c, nil
 }
@@ -128,7 +134,15 @@
 			err = fmt.Errorf("the file is damaged: %v", r)
 		}
 	}()
-	return c.chain.Open(c.db, founders)
+	if err := c.chain.Open(c.db, founders); err != nil {
+		return err
+	}
+	kept, err := openLeavings(c.db)
+	for _, it := range kept {
+		c.registry.put(it)
+		c.kept[it.Key] = it.Version.Major / drains
+	}
+	return err
 }
 
 func (c *Core) callDuty(ctx context.Context, voter string, d ballot.DutyCall) (r ballot.DutyReply, err error) {
@@ -188,21 +202,18 @@
 	if err != nil {
 		return fmt.Errorf("listen for our own processes: %w", err)
 	}
-	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Fresh: c.chain.Steady}
+	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Fresh: func() bool { return c.isLoaded() && c.chain.Steady() }}
 	mux := wire.Mux{
 		"/news":           wire.Method(source.Handle),
 		"/chain/pass":     wire.Method(c.chain.HandlePass),
 		"/chain/standing": wire.Method(c.chain.HandleStanding),
 		"/chain/adopt":    wire.Method(c.chain.HandleAdopt),
-		"/ballot": wire.Method(func(_ context.Context, in *ballot.Call, _ []byte) (*ballot.Reply, error) {
-			r, err := c.voter.Handle(*in)
-			return &r, err
-		}),
+		"/ballot":         wire.Method(c.chain.HandleBallot),
 		"/duty": wire.Method(func(_ context.Context, in *ballot.DutyCall, _ []byte) (*ballot.DutyReply, error) {
 			r := c.voter.HandleDuty(*in)
 			return &r, nil
 		}),
-		"/voters":   wire.Method(c.handleVoters),
+		"/view":     wire.Method(c.handleView),
 		"/exchange": wire.Method(c.handleExchange),
 		"/beat":     wire.Method(c.handleNode),
 		"/suspect":  wire.Method(c.handleSuspect),
@@ -230,69 +241,86 @@
 // Ping answers that the process runs.
 func Ping(context.Context, *struct{}, []byte) (*struct{}, error) { return &struct{}{}, nil }
 
-// Known is what a core with an empty disk asks of its peers.
-type Known struct {
-	Voters []string   `json:"voters"`
-	View   chain.View `json:"view"`
-}
-
-func (c *Core) handleVoters(context.Context, *struct{}, []byte) (*Known, error) {
-	return &Known{c.chain.Voters(), c.chain.View()}, nil
+func (c *Core) handleView(context.Context, *struct{}, []byte) (*chain.View, error) {
+	v := c.chain.View()
+	return &v, nil
 }
 
-// start fetches the registry from a peer, and the voters if the disk is empty.
+// start learns the view and the registry. A leaving that was acknowledged is
+// on a majority of the voters, so this core says nothing about handlers before
+// a majority has told what it knows.
 func (c *Core) start(ctx context.Context) {
-	began := time.Now()
+	told := map[chain.Member]bool{}
 	for ctx.Err() == nil {
-		peers := c.peers()
-		for _, peer := range peers {
-			pctx, cancel := context.WithTimeout(ctx, c.contact/8)
-			if len(c.chain.Voters()) == 0 {
-				var k Known
-				if c.pool.Post(pctx, peer, "/voters", struct{}{}, nil, &k) == nil && len(k.Voters) > 0 {
-					if err := c.chain.Join(k.Voters, k.View); err != nil {
-						c.log.Printf("core: join %s: %v", peer, err)
-					}
-				}
+		for _, peer := range c.peers() {
+			pctx, cancel := context.WithTimeout(ctx, c.contact/16)
+			var v chain.View
+			err := c.pool.Post(pctx, peer, "/view", struct{}{}, nil, &v)
+			if err == nil {
+				err = c.chain.Adopt(pctx, v)
 			}
 			var out Exchanged
-			err := c.pool.Post(pctx, peer, "/exchange", Exchange{From: c.self, All: true}, nil, &out)
+			if err == nil {
+				err = c.pool.Post(pctx, peer, "/exchange", Exchange{From: c.self, All: true}, nil, &out)
+			}
+			if err == nil {
+				err = c.take(out.Items)
+			}
 			cancel()
 			if err == nil {
-				for _, it := range out.Items {
-					c.registry.put(it)
-				}
-				c.mu.Lock()
-				c.loaded = true
-				c.mu.Unlock()
+				told[chain.Member{Address: peer, Disk: out.Disk}] = true
 			}
 		}
-		c.mu.Lock()
-		if time.Since(began) > c.contact || len(peers) == 0 {
-			c.loaded = true
+		view := c.chain.View()
+		told[c.chain.Self] = true
+		n := 0
+		for _, v := range view.Voters {
+			v.Since = 0
+			if told[v] {
+				n++
+			}
 		}
-		done := c.loaded && len(c.chain.Voters()) > 0
-		c.mu.Unlock()
-		if done {
+		if n*2 > len(view.Voters) {
+			c.mu.Lock()
+			c.loaded = true
+			c.mu.Unlock()
+			c.log.Printf("core: the registry is loaded from %d of %d voters", n, len(view.Voters))
 			return
 		}
 		sleep(ctx, c.contact/40)
 	}
 }
 
-// peers are the other cores.
+func (c *Core) isLoaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded
+}
+
+// others are the cores heard of lately, but this one.
+func (c *Core) others() []chain.Member {
+	var out []chain.Member
+	for _, n := range c.registry.nodes() {
+		if n.Role == "core" && n.Address != c.self && n.Disk != "" && n.age < c.contact/2 {
+			out = append(out, chain.Member{Address: n.Address, Disk: n.Disk})
+		}
+	}
+	slices.SortFunc(out, func(a, b chain.Member) int { return strings.Compare(a.Address, b.Address) })
+	return out
+}
+
+// peers are the addresses of the other cores: the voters, those heard of
+// lately, and as long as there are none the seeds.
 func (c *Core) peers() []string {
 	all := c.chain.Voters()
-	if len(all) == 0 {
-		all = c.set.Cores()
+	for _, m := range c.others() {
+		all = append(all, m.Address)
 	}
-	var out []string
-	for _, p := range all {
-		if p != c.self {
-			out = append(out, p)
-		}
+	if len(all) == 0 || !c.isLoaded() {
+		all = append(all, c.set.Cores()...)
 	}
-	return out
+	slices.Sort(all)
+	return slices.DeleteFunc(slices.Compact(all), func(p string) bool { return p == c.self })
 }
 
 // gossip exchanges the registry with the other cores and drops what is silent.
@@ -300,16 +328,18 @@
 	tick := time.NewTicker(c.contact / 8)
 	defer tick.Stop()
 	keepalive := settings.Ms(float64(max(c.set.KeepaliveMs, 1)))
-	began := time.Now()
 	for n := int64(1); ; n++ {
 		c.registry.put(Item{Key: relay.PrefixNode + c.node.Name, Version: journal.Version{Major: c.node.Life, Minor: n}, Value: journal.Encode(c.node)})
 		for _, peer := range c.peers() {
 			c.tasks.Go(func() { c.exchange(ctx, peer) })
 		}
-		if time.Since(began) > c.contact {
-			for _, key := range c.registry.expire(3*keepalive, c.contact*3/4) {
+		// Who was out of touch itself cannot tell that others are silent.
+		if c.chain.SteadyFor() > max(c.contact, 3*keepalive) {
+			silent, forgotten := c.registry.expire(3*keepalive, c.contact*3/4)
+			for _, key := range silent {
 				c.log.Printf("core: silent and taken off the list: %s", key)
 			}
+			c.forget(forgotten)
 		}
 		select {
 		case <-ctx.Done():
@@ -358,54 +388,56 @@
 	c.mu.Unlock()
 }
 
-// spread sends an exchange to all other cores at once. It succeeds when a
-// majority of the cores holds it and every core that is not silent does.
-func (c *Core) spread(ctx context.Context, ex Exchange) error {
-	peers := c.peers()
-	ctx, cancel := context.WithTimeout(ctx, c.contact/8)
+// spread tells all other cores of items at once and does not wait for them;
+// what is lost goes with the next exchange.
+func (c *Core) spread(items ...Item) {
+	for _, peer := range c.peers() {
+		c.tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(c.life, c.contact/8)
+			defer cancel()
+			_ = c.pool.Post(ctx, peer, "/exchange", Exchange{From: c.self, Items: items}, nil, nil)
+		})
+	}
+}
+
+// settle returns once an item is on the disks of a majority of the voters, and
+// on as many as may be lost and one more.
+func (c *Core) settle(ctx context.Context, it Item) error {
+	ctx, cancel := context.WithTimeout(ctx, c.contact/5)
 	defer cancel()
-	errs := make(chan error, len(peers))
-	for _, peer := range peers {
+	view := c.chain.View()
+	need := max(len(view.Voters)/2+1, int(c.set.FaultTolerance.HostFailures)+1)
+	got := make(chan error, len(view.Voters))
+	for _, v := range view.Voters {
 		c.tasks.Go(func() {
-			err := c.pool.Post(ctx, peer, "/exchange", ex, nil, nil)
-			if err != nil {
-				c.mu.Lock()
-				silent := time.Since(c.heardFrom[peer]) > c.contact/4
-				c.mu.Unlock()
-				if !silent && !wire.Refused(err) {
-					err = errors.Join(errLively, err)
-				}
+			if v.Address == c.self {
+				got <- c.keep([]Item{it})
+				return
 			}
-			errs <- err
+			var out Exchanged
+			err := c.pool.Post(ctx, v.Address, "/exchange", Exchange{From: c.self, Items: []Item{it}}, nil, &out)
+			if err == nil && out.Disk != v.Disk {
+				err = fmt.Errorf("%s has another disk", v.Address)
+			}
+			got <- err
 		})
 	}
-	held := 1
-	var bad error
-	for range peers {
-		switch err := <-errs; {
-		case err == nil:
-			held++
-		case errors.Is(err, errLively):
-			bad = err
+	var last error
+	for range view.Voters {
+		if err := <-got; err != nil {
+			last = err
+		} else if need--; need == 0 {
+			return nil
 		}
 	}
-	if held*2 <= len(peers)+1 {
-		return &wire.Status{Code: 503, Text: "no majority of the cores holds the news"}
-	}
-	if bad != nil {
-		return &wire.Status{Code: 503, Text: bad.Error()}
-	}
-	return nil
+	return &wire.Status{Code: 503, Text: fmt.Sprintf("too few cores keep the news: %v", last)}
 }
 
-var errLively = errors.New("a core that is not silent did not take the news")
-
 func (c *Core) handleNode(_ context.Context, n *relay.Node, _ []byte) (*struct{}, error) {
 	it := Item{Key: relay.PrefixNode + n.Name, Version: journal.Version{Major: n.Life, Minor: n.Sequence}, Value: journal.Encode(n)}
 	if c.registry.put(it) {
 		c.nudge()
-		// A change is told at once; what is lost goes with the next exchange.
-		c.tasks.Go(func() { _ = c.spread(c.life, Exchange{From: c.self, Items: []Item{it}}) })
+		c.spread(it)
 	}
 	return &struct{}{}, nil
 }
@@ -422,10 +454,7 @@
 }
 
 func (c *Core) handleBeat(ctx context.Context, r *wire.Request, id string) *wire.Response {
-	c.mu.Lock()
-	loaded := c.loaded
-	c.mu.Unlock()
-	if !loaded || !c.chain.Steady() {
+	if !c.isLoaded() || !c.chain.Steady() {
 		return wire.Problem(503, "this core is not in touch with the others")
 	}
 	var err error
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -17,9 +17,10 @@
 	version journal.Version
 	changed journal.Version // when the value last changed but for the numbers of each beat
 	value   json.RawMessage // null once gone
+	node    relay.Node      // the value, where it is one of our own processes
 	seen    time.Time
 	told    time.Time // when this core last changed or saw it, for exchanges
-	lonely  bool      // other cores may not know the value yet
+	settled int64     // 1 once it is sure that the draining lasts, 2 that the end does
 }
 
 // registry holds the handlers and nodes. Each core hears some beats itself and
@@ -39,8 +40,18 @@
 	Changed journal.Version `json:"changed"` // when the value last changed, as the sender knows
 }
 
-// goneMinor is the minor version of an entry that is gone for good.
-const goneMinor = 1 << 40
+// Leaving is for good: the versions of a handler that drains are above all of
+// one that is ready, and those of one that is gone above all others. So no late
+// beat and no old picture brings an instance back, wherever the news are merged.
+const (
+	drains = int64(1) << 60
+	gone   = int64(1) << 61
+)
+
+// leaving tells whether an item must outlive its cores before it is acknowledged.
+func (it Item) leaving() bool {
+	return it.Version.Major >= drains && strings.HasPrefix(it.Key, relay.PrefixInstance)
+}
 
 // put merges an entry; it tells whether it was newer than what was held.
 func (r *registry) put(it Item) bool {
@@ -56,9 +67,6 @@
 		e = &entry{}
 		r.entries[it.Key] = e
 	}
-	if e.version.Minor >= goneMinor {
-		return false
-	}
 	if seen.After(e.seen) && !it.Version.Less(e.version) {
 		e.seen, e.told = seen, now
 	}
@@ -71,6 +79,10 @@
 	}
 	changed := !sameValue(e.value, it.Value)
 	e.value, e.told = it.Value, now
+	if strings.HasPrefix(it.Key, relay.PrefixNode) {
+		e.node = relay.Node{}
+		_ = json.Unmarshal(it.Value, &e.node)
+	}
 	if e.changed.Less(it.Changed) {
 		e.changed = it.Changed
 	}
@@ -142,10 +154,7 @@
 	out := map[string]nodeAge{}
 	for k, e := range r.entries {
 		if name, ok := strings.CutPrefix(k, relay.PrefixNode); ok && string(e.value) != "null" {
-			var n relay.Node
-			if json.Unmarshal(e.value, &n) == nil {
-				out[name] = nodeAge{n, time.Since(e.seen)}
-			}
+			out[name] = nodeAge{e.node, time.Since(e.seen)}
 		}
 	}
 	return out
@@ -156,11 +165,11 @@
 	age time.Duration
 }
 
-// expire takes away what has been silent for longer than the bounds.
-func (r *registry) expire(instances, nodes time.Duration) []string {
+// expire takes away what has been silent for longer than the bounds, and
+// forgets what has been gone for much longer.
+func (r *registry) expire(instances, nodes time.Duration) (out, forgotten []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
 	now := time.Now()
 	for k, e := range r.entries {
 		bound := nodes
@@ -171,6 +180,7 @@
 		if string(e.value) == "null" {
 			if silent > 16*bound {
 				delete(r.entries, k)
+				forgotten = append(forgotten, k)
 			}
 			continue
 		}
@@ -181,7 +191,7 @@
 			out = append(out, k)
 		}
 	}
-	return out
+	return out, forgotten
 }
 
 // Exchange is what cores tell each other every so often.
@@ -193,6 +203,7 @@
 
 // Exchanged answers an exchange.
 type Exchanged struct {
+	Disk  string   `json:"disk"` // of the core that answers: what it kept is on that one
 	Items []Item   `json:"items,omitempty"`
 	Want  []string `json:"want,omitempty"` // keys whose value is not known here
 }
@@ -206,13 +217,17 @@
 }
 
 func (c *Core) handleExchange(_ context.Context, in *Exchange, _ []byte) (*Exchanged, error) {
-	out := &Exchanged{}
+	out := &Exchanged{Disk: c.chain.Self.Disk}
+	known := in.Items[:0]
 	for _, it := range in.Items {
 		if c.registry.lacks(it) {
 			out.Want = append(out.Want, it.Key)
-			continue
+		} else {
+			known = append(known, it)
 		}
-		c.registry.put(it)
+	}
+	if err := c.take(known); err != nil {
+		return nil, err
 	}
 	if in.All {
 		out.Items, _ = c.registry.since(time.Time{}, func(string) journal.Version { return journal.Version{Major: -1} })
@@ -220,47 +235,65 @@
 	return out, nil
 }
 
+// take merges what a peer tells; leavings are on disk when it returns.
+func (c *Core) take(items []Item) error {
+	var leavings []Item
+	for _, it := range items {
+		c.registry.put(it)
+		if it.leaving() && it.Value != nil {
+			leavings = append(leavings, it)
+		}
+	}
+	return c.keep(leavings)
+}
+
 // beat takes a handler's beat; it returns once it is safe to acknowledge.
 func (c *Core) beat(ctx context.Context, in handler.Instance) error {
-	it := Item{Key: relay.PrefixInstance + in.ID, Version: journal.Version{Major: in.CallSeq}, Value: journal.Encode(in)}
-	return c.share(ctx, it)
+	v := journal.Version{Major: in.CallSeq}
+	if in.State != handler.Ready {
+		v.Major += drains
+	}
+	it := Item{Key: relay.PrefixInstance + in.ID, Version: v, Value: journal.Encode(in)}
+	if it.leaving() {
+		return c.depart(ctx, it)
+	}
+	if c.registry.put(it) {
+		c.spread(it)
+	}
+	return nil
 }
 
-// leave takes a handler away for good.
+// leave takes a handler away for good, whether it is known here or not.
 func (c *Core) leave(ctx context.Context, id string) error {
-	key := relay.PrefixInstance + id
-	_, v, _, ok := c.registry.get(key)
-	if !ok {
-		return nil
-	}
-	return c.share(ctx, Item{Key: key, Version: journal.Version{Major: v.Major, Minor: goneMinor}, Value: json.RawMessage("null")})
+	return c.depart(ctx, Item{Key: relay.PrefixInstance + id, Version: journal.Version{Major: gone}, Value: json.RawMessage("null")})
 }
 
-// share merges an item here and, where it says something new, at every other
-// core that answers, and at a majority in any case.
-func (c *Core) share(ctx context.Context, it Item) error {
-	if c.registry.put(it) {
-		c.registry.lonely(it.Key, true)
-	} else if !c.registry.lonely(it.Key, true) {
-		c.registry.lonely(it.Key, false)
+// depart makes a leaving last. Once it does, repeated beats cost nothing.
+func (c *Core) depart(ctx context.Context, it Item) error {
+	c.registry.put(it)
+	if c.registry.settled(it, false) {
 		return nil
 	}
-	if err := c.spread(ctx, Exchange{From: c.self, Items: []Item{it}}); err != nil {
+	if err := c.settle(ctx, it); err != nil {
 		return err
 	}
-	c.registry.lonely(it.Key, false)
+	c.registry.settled(it, true)
+	c.spread(it)
 	return nil
 }
 
-// lonely marks whether an entry may be known here alone, and tells what held before.
-func (r *registry) lonely(key string, yes bool) bool {
+// settled tells whether a leaving like this one is known to last; with now, it
+// is from here on.
+func (r *registry) settled(it Item, now bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.entries[key]
+	e := r.entries[it.Key]
 	if e == nil {
 		return false
 	}
-	before := e.lonely
-	e.lonely = yes
-	return before
+	rank := it.Version.Major / drains
+	if now {
+		e.settled = max(e.settled, rank)
+	}
+	return e.settled >= rank
 }
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -62,11 +62,17 @@
 }
 
 func (c *Core) handleInStep(ctx context.Context, in *InStep, _ []byte) (*struct{}, error) {
+	if !c.chain.Steady() {
+		return nil, &wire.Status{Code: 503, Text: "this core is not in touch with the others"}
+	}
 	for range 3 {
 		cur := c.Placement()
 		next := cur.Clone()
 		changed := false
 		for i, epoch := range in.Partitions {
+			if i >= len(next.Partitions) || next.Partitions[i].Epoch < epoch {
+				return nil, &wire.Status{Code: 503, Text: "the placement here is older"}
+			}
 			if i < len(next.Partitions) && next.Partitions[i].Epoch == epoch && !next.Partitions[i].InStep {
 				next.Partitions[i].InStep = true
 				changed = true
