f+1 copies of each message; a copy stays until its successor holds everything

A partition has a primary and f backups. A message is taken once all of them have it on disk; the primary needs a live lease of each that may succeed it; a backup that stays keeps what it has over a change of epoch. Copies lie as near as the zones and regions that may be lost allow, since bytes between them are dear. A store that comes back or is emptied is an additional copy first: none is given up before another holds everything. Tested with f of 1 and 2 and with zones and regions to be lost.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -75,7 +75,7 @@
 			s, err := w.status()
 			lead := map[string]int{}
 			for _, p := range s.Placement.Partitions {
-				if p.InStep {
+				if p.InStep(1) {
 					lead[p.Primary]++
 				}
 			}
@@ -184,7 +184,7 @@
 			s, err := w.status()
 			lead, ok := 0, err == nil && s.Placement.Stores["store-z1"].Disk != before.Placement.Stores["store-z1"].Disk
 			for _, p := range s.Placement.Partitions {
-				ok = ok && p.InStep
+				ok = ok && p.InStep(1)
 				if p.Primary == "store-z1" {
 					lead++
 				}
@@ -400,7 +400,7 @@
 			t.Fatal(err)
 		}
 		for i, p := range after.Placement.Partitions {
-			if p.Epoch <= before.Placement.Partitions[i].Epoch || !p.InStep {
+			if p.Epoch <= before.Placement.Partitions[i].Epoch || !p.InStep(1) {
 				t.Errorf("partition %d: %+v, before %+v", i, p, before.Placement.Partitions[i])
 			}
 		}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -16,13 +16,36 @@
 	Stores     map[string]Store `json:"stores"`
 }
 
-// Partition is the place of one partition. A change of primary or backup has a
+// Partition is the place of one partition. A change of primary or backups has a
 // new epoch; copies refuse what comes under an older one.
 type Partition struct {
-	Epoch   int64  `json:"epoch"`
-	Primary string `json:"primary"`
-	Backup  string `json:"backup,omitempty"`
-	InStep  bool   `json:"in-step,omitempty"` // the backup holds everything and may succeed
+	Epoch   int64    `json:"epoch"`
+	Primary string   `json:"primary"`
+	Backups []Backup `json:"backups,omitempty"`
+}
+
+// Backup is a copy that follows the primary.
+type Backup struct {
+	Store  string `json:"store"`
+	InStep bool   `json:"in-step,omitempty"` // it holds everything and may succeed
+}
+
+// Backup finds the place of a store among the backups; -1 if it is none.
+func (p Partition) Backup(store string) int {
+	return slices.IndexFunc(p.Backups, func(b Backup) bool { return b.Store == store })
+}
+
+// Has tells whether a store holds a copy.
+func (p Partition) Has(store string) bool { return p.Primary == store || p.Backup(store) >= 0 }
+
+// InStep tells whether there are as many copies as asked for, all in step.
+func (p Partition) InStep(backups int) bool {
+	return len(p.Backups) >= backups && !slices.ContainsFunc(p.Backups, func(b Backup) bool { return !b.InStep })
+}
+
+// without gives the backups but for one store, in a list of its own.
+func (p Partition) without(store string) []Backup {
+	return slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return b.Store == store })
 }
 
 // Store is a storage machine that holds, or may hold, partitions.
@@ -37,6 +60,9 @@
 // Clone copies a placement, so that it may be changed.
 func (p Placement) Clone() Placement {
 	p.Partitions = slices.Clone(p.Partitions)
+	for i := range p.Partitions {
+		p.Partitions[i].Backups = slices.Clone(p.Partitions[i].Backups)
+	}
 	p.Stores = maps.Clone(p.Stores)
 	return p
 }
@@ -71,37 +97,111 @@
 	return out
 }
 
+// Spread is how far copies must lie apart.
+type Spread struct {
+	Backups int // copies beside the primary: the stores that may be lost at once
+	Zones   int // zones that may be lost at once
+	Regions int
+}
+
 // Found makes the first placement.
-func Found(stores map[string]StoreStatus) Placement {
+func Found(stores map[string]StoreStatus, spread Spread) Placement {
 	p := Placement{Version: 1, Stores: map[string]Store{}}
 	for name, s := range stores {
 		p.Stores[name] = Store{Address: s.Address, Zone: s.Zone, Region: s.Region, Disk: s.Disk}
 	}
 	order := p.order()
 	for i := range partitionsPerStore * len(order) {
-		primary, backup := ideal(order, i)
-		p.Partitions = append(p.Partitions, Partition{Epoch: 1, Primary: primary, Backup: backup, InStep: true})
+		want := p.ideal(order, i, spread)
+		x := Partition{Epoch: 1, Primary: want[0]}
+		for _, b := range want[1:] {
+			x.Backups = append(x.Backups, Backup{b, true})
+		}
+		p.Partitions = append(p.Partitions, x)
 	}
 	return p
 }
 
-// ideal is where partition i belongs: primaries and backups in turn.
-func ideal(order []string, i int) (primary, backup string) {
+// ideal is where partition i belongs, the primary first. Primaries go round;
+// the backups lie as near as what may be lost at once allows, since bytes
+// between zones and regions are dear.
+func (p Placement) ideal(order []string, i int, spread Spread) []string {
+	n := len(order)
+	if n == 0 {
+		return nil
+	}
+	ranked := p.near(order, i)
+	out := ranked[:1]
+	for len(out) <= spread.Backups {
+		zones, regions := map[string]bool{}, map[string]bool{}
+		for _, name := range out {
+			zones[p.Stores[name].Zone], regions[p.Stores[name].Region] = true, true
+		}
+		left := spread.Backups + 1 - len(out)
+		at := -1
+		for j, name := range ranked {
+			s := p.Stores[name]
+			apart := (spread.Regions+1-len(regions) < left || !regions[s.Region]) && (spread.Zones+1-len(zones) < left || !zones[s.Zone])
+			if !slices.Contains(out, name) && (at < 0 || apart) {
+				if at = j; apart {
+					break
+				}
+			}
+		}
+		if at < 0 {
+			break
+		}
+		out = append(slices.Clone(out), ranked[at])
+	}
+	return out
+}
+
+// near lists all stores for partition i: its primary, then the others by how
+// far they are from it, those equally far in an order that goes round.
+func (p Placement) near(order []string, i int) []string {
 	n := len(order)
 	if n == 0 {
-		return "", ""
+		return nil
 	}
-	if n == 1 {
-		return order[0], ""
+	out := []string{order[i%n]}
+	home := p.Stores[out[0]]
+	turn := func(list []string, by int) []string {
+		if len(list) == 0 {
+			return nil
+		}
+		k := by % len(list)
+		return append(slices.Clone(list[k:]), list[:k]...)
+	}
+	var zone, region, regions []string
+	others := map[string][]string{}
+	for _, name := range order {
+		switch s := p.Stores[name]; {
+		case name == out[0]:
+		case s.Zone == home.Zone:
+			zone = append(zone, name)
+		case s.Region == home.Region:
+			region = append(region, name)
+		default:
+			if others[s.Region] == nil {
+				regions = append(regions, s.Region)
+			}
+			others[s.Region] = append(others[s.Region], name)
+		}
+	}
+	k := i%n*partitionsPerStore + i/n
+	out = append(append(out, turn(zone, k)...), turn(region, k)...)
+	for _, r := range turn(regions, k) {
+		out = append(out, turn(others[r], k/max(1, len(regions)))...)
 	}
-	return order[i%n], order[(i%n+1+(i/n)%(n-1))%n]
+	return out
 }
 
 // Plan takes the next step from a placement towards the one wanted: it mends
 // first, and only when all is mended it moves partitions to where they belong.
-// Handovers are the partitions whose primary must stop before its backup may
+// A copy that is to go stays until the one in its place holds everything.
+// Handovers are the partitions whose primary must stop before a backup may
 // succeed it; those in ready have stopped.
-func Plan(cur Placement, stores map[string]StoreStatus, ready map[int]int64) (next Placement, handovers []int, changed bool) {
+func Plan(cur Placement, stores map[string]StoreStatus, ready map[int]int64, spread Spread) (next Placement, handovers []int, changed bool) {
 	next = cur.Clone()
 	for name, s := range stores {
 		old, known := next.Stores[name]
@@ -122,61 +222,87 @@
 		return up(name) && !stores[name].Leaving && next.Stores[name].Retire == ""
 	}
 	order := next.order()
-	pick := func(i int, not string) string {
-		primary, backup := ideal(order, i)
-		for _, name := range append([]string{primary, backup}, order...) {
-			if name != "" && name != not && usable(name) {
-				return name
+	// wanted is where a partition is to lie as things are, the primary first.
+	wanted := func(i int) []string {
+		if len(order) == 0 {
+			return nil
+		}
+		var out []string
+		for _, name := range append(next.ideal(order, i, spread), next.near(order, i)...) {
+			if len(out) <= spread.Backups && usable(name) && !slices.Contains(out, name) {
+				out = append(out, name)
 			}
 		}
-		return ""
+		return out
 	}
 	mended := true
 	for i := range next.Partitions {
 		p := &next.Partitions[i]
-		switch {
-		case !up(p.Primary):
+		alive := slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return !up(b.Store) })
+		primary := p.Primary
+		if !up(primary) {
 			mended = false
-			if p.InStep && up(p.Backup) {
-				*p = Partition{Epoch: p.Epoch + 1, Primary: p.Backup, Backup: pick(i, p.Backup)}
-				changed = true
+			at := slices.IndexFunc(alive, func(b Backup) bool { return b.InStep })
+			if at < 0 {
+				continue // nobody who holds everything is left: wait for the primary
 			}
-		case p.Backup == "" || !up(p.Backup):
-			if b := pick(i, p.Primary); b != p.Backup {
-				*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backup: b}
-				changed = true
+			primary = alive[at].Store
+			alive = slices.Delete(alive, at, at+1)
+		}
+		for _, name := range wanted(i) {
+			if len(alive) < spread.Backups && name != primary && !slices.ContainsFunc(alive, func(b Backup) bool { return b.Store == name }) {
+				alive = append(alive, Backup{Store: name})
 			}
-			mended = mended && p.Backup != ""
-		case !p.InStep:
-			mended = false
 		}
+		if primary != p.Primary || !slices.Equal(alive, p.Backups) {
+			*p = Partition{Epoch: p.Epoch + 1, Primary: primary, Backups: alive}
+			changed = true
+		}
+		mended = mended && p.InStep(spread.Backups)
 	}
 	for i := range next.Partitions {
 		p := &next.Partitions[i]
-		if !p.InStep || !up(p.Primary) || !up(p.Backup) {
+		want := wanted(i)
+		if !p.InStep(0) || len(want) == 0 || !up(p.Primary) {
 			continue
 		}
-		primary, backup := ideal(order, i)
 		leaving := !usable(p.Primary)
+		heir := ""
 		switch {
-		case leaving && usable(p.Backup), mended && p.Backup == primary && usable(primary):
-			// The backup is to lead: the primary stops first.
+		case leaving:
+			if at := slices.IndexFunc(p.Backups, func(b Backup) bool { return usable(b.Store) }); at >= 0 {
+				heir = p.Backups[at].Store
+			}
+		case mended && p.Primary != want[0] && p.Backup(want[0]) >= 0:
+			heir = want[0]
+		}
+		if heir != "" { // the primary stops first
 			if ready[i] == p.Epoch {
-				*p = Partition{Epoch: p.Epoch + 1, Primary: p.Backup, Backup: p.Primary, InStep: true}
+				*p = Partition{Epoch: p.Epoch + 1, Primary: heir, Backups: append(p.without(heir), Backup{p.Primary, true})}
 				changed = true
 			} else {
 				handovers = append(handovers, i)
 			}
-		case !usable(p.Backup):
-			if b := pick(i, p.Primary); b != "" {
-				*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backup: b}
-				changed = true
+			continue
+		}
+		urgent := leaving || slices.ContainsFunc(p.Backups, func(b Backup) bool { return !usable(b.Store) })
+		if !mended && !urgent {
+			continue
+		}
+		var missing []Backup
+		for _, name := range want {
+			if !p.Has(name) {
+				missing = append(missing, Backup{Store: name})
 			}
-		case mended && p.Primary != primary && usable(primary):
-			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backup: primary}
+		}
+		if len(missing) > 0 {
+			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backups: append(slices.Clone(p.Backups), missing...)}
 			changed = true
-		case mended && p.Primary == primary && p.Backup != backup && usable(backup):
-			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backup: backup}
+			continue
+		}
+		keep := slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return !slices.Contains(want, b.Store) })
+		if len(keep) < len(p.Backups) && len(keep) >= min(spread.Backups, len(want)-1) && slices.Contains(want, p.Primary) {
+			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backups: keep}
 			changed = true
 		}
 	}
@@ -196,7 +322,7 @@
 // holds tells whether a store has any partition.
 func holds(p Placement, name string) bool {
 	for _, x := range p.Partitions {
-		if x.Primary == name || x.Backup == name {
+		if x.Has(name) {
 			return true
 		}
 	}
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"saltreel/internal/chain"
 	"saltreel/internal/journal"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -20,51 +21,73 @@
 	return out
 }
 
-// settle plans until nothing changes; copies come into step between steps.
-func settle(t *testing.T, p Placement, s map[string]StoreStatus, step func(before, after Placement)) Placement {
+// settle plans until nothing changes; copies come into step between steps. It
+// fails if a copy leads that is not in step, or if a copy is given up on
+// purpose before enough others hold everything.
+func settle(t *testing.T, p Placement, s map[string]StoreStatus, spread Spread, step func(before, after Placement)) Placement {
 	t.Helper()
-	for range 100 {
+	alive := func(x Partition) (n int) {
+		for _, b := range append([]Backup{{x.Primary, true}}, x.Backups...) {
+			if b.InStep && s[b.Store].Up && s[b.Store].Disk == p.Stores[b.Store].Disk {
+				n++
+			}
+		}
+		return n
+	}
+	for range 200 {
 		ready := map[int]int64{}
-		next, handovers, changed := Plan(p, s, nil)
+		next, handovers, changed := Plan(p, s, nil, spread)
 		for _, i := range handovers {
 			ready[i] = p.Partitions[i].Epoch
 		}
 		if !changed && len(handovers) > 0 {
-			next, _, changed = Plan(p, s, ready)
+			next, _, changed = Plan(p, s, ready, spread)
 		}
 		if !changed {
 			return p
 		}
 		for i, x := range next.Partitions {
 			old := p.Partitions[i]
-			moved := x.Primary != old.Primary || x.Backup != old.Backup
+			names := func(x Partition) (out []string) {
+				for _, b := range x.Backups {
+					out = append(out, b.Store)
+				}
+				return out
+			}
+			moved := x.Primary != old.Primary || !slices.Equal(names(x), names(old))
 			if moved != (x.Epoch > old.Epoch) {
 				t.Fatalf("partition %d: %+v to %+v", i, old, x)
 			}
-			if x.Primary != old.Primary && (x.Primary != old.Backup || !old.InStep) {
+			if at := old.Backup(x.Primary); x.Primary != old.Primary && (at < 0 || !old.Backups[at].InStep) {
 				t.Fatalf("partition %d: %+v is led by a copy not in step: %+v", i, old, x)
 			}
+			if was, is := alive(old), alive(x); is < was && is < spread.Backups+1 {
+				t.Fatalf("partition %d: %d copies, then %d: %+v to %+v", i, was, is, old, x)
+			}
 		}
 		if step != nil {
 			step(p, next)
 		}
 		p = next.Clone()
-		for i := range p.Partitions {
-			x := &p.Partitions[i]
-			x.InStep = x.InStep || x.Backup != "" && s[x.Backup].Up && s[x.Primary].Up
+		for i, x := range p.Partitions {
+			for j, b := range x.Backups {
+				p.Partitions[i].Backups[j].InStep = b.InStep || s[b.Store].Up && s[x.Primary].Up
+			}
 		}
 	}
 	t.Fatal("the placement does not settle")
 	return p
 }
 
+var one = Spread{Backups: 1}
+
 func TestPlacementMendsAndReturns(t *testing.T) {
 	s := stores("a", "b", "c")
-	first := Found(s)
+	first := Found(s, one)
 	lead := map[string]int{}
 	for _, x := range first.Partitions {
 		lead[x.Primary]++
-		if x.Primary == x.Backup || !x.InStep {
+		if x.Backup(x.Primary) >= 0 || !x.InStep(1) {
 			t.Fatalf("%+v", x)
 		}
 	}
@@ -76,15 +99,15 @@
 		x := down[lost]
 		x.Up = false
 		down[lost] = x
-		p := settle(t, first, down, nil)
+		p := settle(t, first, down, one, nil)
 		for i, y := range p.Partitions {
-			if y.Primary == lost || y.Backup == lost || y.Backup == "" {
+			if y.Has(lost) || !y.InStep(1) {
 				t.Errorf("without %s: partition %d at %+v", lost, i, y)
 			}
 		}
-		p = settle(t, p, s, nil)
+		p = settle(t, p, s, one, nil)
 		for i, y := range p.Partitions {
-			if want := first.Partitions[i]; y.Primary != want.Primary || y.Backup != want.Backup {
+			if want := first.Partitions[i]; y.Primary != want.Primary || !slices.Equal(y.Backups, want.Backups) {
 				t.Errorf("%s is back: partition %d at %+v, not %+v", lost, i, y, want)
 			}
 		}
@@ -92,15 +115,15 @@
 }
 
 func TestACopyBehindNeverLeads(t *testing.T) {
-	p := Found(stores("a", "b", "c"))
+	p := Found(stores("a", "b", "c"), one)
 	for i := range p.Partitions {
-		p.Partitions[i].InStep = p.Partitions[i].Primary != "a"
+		p.Partitions[i].Backups[0].InStep = p.Partitions[i].Primary != "a"
 	}
 	s := stores("a", "b", "c")
 	x := s["a"]
 	x.Up = false
 	s["a"] = x
-	next, _, _ := Plan(p, s, nil)
+	next, _, _ := Plan(p, s, nil, one)
 	for i, y := range next.Partitions {
 		if p.Partitions[i].Primary == "a" && y.Primary != "a" {
 			t.Errorf("partition %d went to a copy behind: %+v", i, y)
@@ -109,12 +132,12 @@
 }
 
 func TestALostDiskIsAnEmptyStore(t *testing.T) {
-	p := Found(stores("a", "b", "c"))
+	p := Found(stores("a", "b", "c"), one)
 	s := stores("a", "b", "c")
 	x := s["a"]
 	x.Disk = "disk-new"
 	s["a"] = x
-	next := settle(t, p, s, func(before, after Placement) {
+	next := settle(t, p, s, one, func(before, after Placement) {
 		for i, y := range after.Partitions {
 			if y.Primary == "a" && before.Partitions[i].Primary != "a" && after.Stores["a"].Disk != "disk-new" {
 				t.Errorf("partition %d is led by the lost disk", i)
@@ -127,11 +150,11 @@
 }
 
 func TestRetiredAndLeavingStoresAreEmptied(t *testing.T) {
-	p := Found(stores("a", "b", "c"))
+	p := Found(stores("a", "b", "c"), one)
 	r := p.Stores["b"]
 	r.Retire = RetireActive
 	p.Stores["b"] = r
-	q := settle(t, p, stores("a", "b", "c"), nil)
+	q := settle(t, p, stores("a", "b", "c"), one, nil)
 	if holds(q, "b") || q.Stores["b"].Retire != RetireComplete {
 		t.Errorf("retired: %+v", q)
 	}
@@ -139,7 +162,7 @@
 	x := s["c"]
 	x.Leaving = true
 	s["c"] = x
-	if q := settle(t, Found(stores("a", "b", "c")), s, nil); holds(q, "c") {
+	if q := settle(t, Found(stores("a", "b", "c"), one), s, one, nil); holds(q, "c") {
 		t.Errorf("leaving: %+v", q)
 	}
 	for _, n := range []int{1, 2, 4, 5} {
@@ -147,14 +170,65 @@
 		for i := range n {
 			names = append(names, fmt.Sprint("s", i))
 		}
-		for i, x := range Found(stores(names...)).Partitions {
-			if x.Primary == x.Backup || n > 1 && x.Backup == "" {
+		for i, x := range Found(stores(names...), one).Partitions {
+			if x.Backup(x.Primary) >= 0 || len(x.Backups) != min(1, n-1) {
 				t.Errorf("%d stores, partition %d: %+v", n, i, x)
 			}
 		}
 	}
 }
 
+func TestCopiesLieAsNearAsWhatMayBeLostAllows(t *testing.T) {
+	fleet := func() map[string]StoreStatus {
+		s := map[string]StoreStatus{}
+		for z := range 6 {
+			for k := range 3 {
+				name := fmt.Sprintf("s%d%d", z, k)
+				s[name] = StoreStatus{Node: relay.Node{Name: name, Role: "store", Zone: fmt.Sprint("z", z), Region: fmt.Sprint("r", z/2), Disk: name}, Up: true}
+			}
+		}
+		return s
+	}
+	for _, c := range []struct {
+		spread         Spread
+		zones, regions int // that each partition lies in
+	}{{Spread{Backups: 2}, 1, 1}, {Spread{Backups: 2, Zones: 1}, 2, 1}, {Spread{Backups: 2, Zones: 2}, 3, 2}, {Spread{Backups: 2, Regions: 1}, 2, 2}, {Spread{Backups: 2, Regions: 2}, 3, 3}} {
+		s := fleet()
+		p := Found(s, c.spread)
+		held := map[string]int{}
+		for i, x := range p.Partitions {
+			zones, regions := map[string]bool{}, map[string]bool{}
+			for _, b := range append(x.Backups, Backup{Store: x.Primary}) {
+				zones[s[b.Store].Zone], regions[s[b.Store].Region] = true, true
+				held[b.Store]++
+			}
+			if len(x.Backups) != 2 || len(zones) != c.zones || len(regions) != c.regions {
+				t.Errorf("%+v: partition %d at %+v", c.spread, i, x)
+			}
+		}
+		for name := range s {
+			if held[name] < partitionsPerStore*2 || held[name] > partitionsPerStore*4 {
+				t.Errorf("%+v: %s holds %d copies", c.spread, name, held[name])
+			}
+		}
+		for _, lost := range []string{"s00", "s12"} { // two at once come back empty
+			x := s[lost]
+			x.Disk = "new"
+			s[lost] = x
+		}
+		q := settle(t, p, s, c.spread, nil)
+		for i, x := range q.Partitions {
+			if !x.InStep(2) || x.Primary != p.Partitions[i].Primary {
+				t.Errorf("%+v: partition %d at %+v", c.spread, i, x)
+			}
+		}
+		s["s99"] = StoreStatus{Node: relay.Node{Name: "s99", Zone: "z0", Region: "r0", Disk: "d"}, Up: true}
+		if q = settle(t, q, s, c.spread, nil); !holds(q, "s99") {
+			t.Errorf("%+v: an added store gets nothing", c.spread)
+		}
+	}
+}
+
 func TestExchangesCarryValuesOnceAndMendWhatWasMissed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core := func(name string) *Core {
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -56,9 +56,16 @@
 	c.nudge()
 }
 
-// InStep is a primary's report that its backup holds everything.
+// InStep is a primary's report of backups that hold everything.
 type InStep struct {
-	Partitions map[int]int64 `json:"partitions"` // by epoch
+	Copies []Copy `json:"copies"`
+}
+
+// Copy is a backup of a partition in an epoch.
+type Copy struct {
+	Partition int    `json:"partition"`
+	Epoch     int64  `json:"epoch"`
+	Store     string `json:"store"`
 }
 
 func (c *Core) handleInStep(ctx context.Context, in *InStep, _ []byte) (*struct{}, error) {
@@ -69,12 +76,13 @@
 		cur := c.Placement()
 		next := cur.Clone()
 		changed := false
-		for i, epoch := range in.Partitions {
-			if i >= len(next.Partitions) || next.Partitions[i].Epoch < epoch {
+		for _, x := range in.Copies {
+			if x.Partition >= len(next.Partitions) || next.Partitions[x.Partition].Epoch < x.Epoch {
 				return nil, &wire.Status{Code: 503, Text: "the placement here is older"}
 			}
-			if i < len(next.Partitions) && next.Partitions[i].Epoch == epoch && !next.Partitions[i].InStep {
-				next.Partitions[i].InStep = true
+			p := next.Partitions[x.Partition]
+			if at := p.Backup(x.Store); p.Epoch == x.Epoch && at >= 0 && !p.Backups[at].InStep {
+				p.Backups[at].InStep = true
 				changed = true
 			}
 		}
@@ -91,6 +99,12 @@
 	return nil, &wire.Status{Code: 503, Text: "the placement changes too often"}
 }
 
+// spread is how far the copies of a message must lie apart.
+func (c *Core) spreadOf() Spread {
+	t := c.set.FaultTolerance
+	return Spread{int(t.HostFailures), int(t.Zones), int(t.RegionFailures)}
+}
+
 // steward places the partitions while this core holds the duty.
 func (c *Core) steward(ctx context.Context) {
 	tick := time.NewTicker(c.contact / 16)
@@ -145,10 +159,10 @@
 			if count < int(c.set.FaultTolerance.HostFailures)+1 || time.Since(since) < c.contact/4 {
 				continue
 			}
-			next, changed = Found(stores), true
+			next, changed = Found(stores, c.spreadOf()), true
 		} else {
 			c.mu.Lock()
-			next, handovers, changed = Plan(cur, stores, c.ready)
+			next, handovers, changed = Plan(cur, stores, c.ready, c.spreadOf())
 			c.mu.Unlock()
 		}
 		if changed {
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -42,7 +42,7 @@
 		at := (i + int(ring.Hash(r.ID)%uint64(n))) % n
 		s := p.Stores[p.Partitions[at].Primary]
 		switch {
-		case p.Partitions[at].Backup == "":
+		case len(p.Partitions[at].Backups) < int(e.set.FaultTolerance.HostFailures):
 			out[3] = append(out[3], at)
 		case s.Zone == e.set.Zone:
 			out[0] = append(out[0], at)
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -79,6 +79,7 @@
 
 type sentShare struct {
 	p       *part
+	to      *replica
 	epoch   int64
 	records []*Record
 	digest  uint64
@@ -138,18 +139,19 @@
 	raw := []byte{}
 	var sent []sentShare
 	for _, p := range s.parts {
-		if p.primary != s.Self || p.backup != peer {
+		x := p.replica(peer)
+		if p.primary != s.Self || x == nil {
 			continue
 		}
 		// Bytes between regions are dear: a partition with nothing to send is
 		// left out until its lease is to be renewed.
-		quiet := len(p.dirty)+len(p.extra) == 0 && p.paired && (!p.closed || p.released)
-		if quiet && time.Until(p.lease) > s.Lease()*3/4 {
+		quiet := len(x.dirty)+len(x.extra) == 0 && x.paired && (!p.closed || x.released)
+		if quiet && time.Until(x.lease) > s.Lease()*3/4 {
 			continue
 		}
 		sh := Share{Number: p.number, Epoch: p.epoch, Release: p.closed}
-		ss := sentShare{p: p, epoch: p.epoch, whole: true, release: p.closed}
-		for _, r := range p.dirty {
+		ss := sentShare{p: p, to: x, epoch: p.epoch, whole: true, release: p.closed}
+		for _, r := range x.dirty {
 			sh.Records = append(sh.Records, r)
 		}
 		slices.SortFunc(sh.Records, func(a, b *Record) int { return cmp.Compare(a.Sequence, b.Sequence) })
@@ -161,17 +163,17 @@
 			}
 			size += r.memory()
 		}
-		for len(p.extra) > 0 && size < batchBytes {
-			if r := p.records[p.extra[0]]; r != nil && p.dirty[r.ID] == nil {
+		for len(x.extra) > 0 && size < batchBytes {
+			if r := p.records[x.extra[0]]; r != nil && x.dirty[r.ID] == nil {
 				sh.Records = append(sh.Records, r)
 				size += r.memory()
 			}
-			p.extra = p.extra[1:]
+			x.extra = x.extra[1:]
 		}
 		for _, r := range sh.Records {
 			raw = append(raw, r.Body...)
 		}
-		ss.whole = ss.whole && len(p.extra) == 0
+		ss.whole = ss.whole && len(x.extra) == 0
 		ss.records, ss.digest, ss.count = sh.Records, p.digest, p.count
 		b.Parts = append(b.Parts, sh)
 		sent = append(sent, ss)
@@ -187,52 +189,52 @@
 	for _, a := range out.Parts {
 		answers[a.Number] = a
 	}
-	report := core.InStep{Partitions: map[int]int64{}}
+	var report core.InStep
 	for _, x := range sent {
-		p := x.p
+		p, to := x.p, x.to
 		a, ok := answers[p.number]
-		if !ok || p.epoch != x.epoch {
+		if !ok || p.epoch != x.epoch || p.replica(to.store) != to {
 			continue
 		}
 		if a.Stale {
-			if p.paired {
+			if to.paired {
 				s.Log.Printf("copy: partition %d: %s knows a newer epoch than %d", p.number, l.peer, p.epoch)
 			}
-			p.lease, p.paired = time.Time{}, false
+			to.lease, to.paired = time.Time{}, false
 			continue
 		}
-		p.paired = true
+		to.paired = true
 		for _, r := range x.records {
-			if p.dirty[r.ID] == r {
-				delete(p.dirty, r.ID)
+			if to.dirty[r.ID] == r {
+				delete(to.dirty, r.ID)
 			}
 			if w := p.waiting[r.ID]; w != nil {
-				w.remote = true
+				w.remote[to.disk] = true
 				s.settle(p, w)
 			}
 		}
-		if p.released = x.release; p.closed {
-			p.lease = time.Time{}
+		if to.released = x.release; p.closed {
+			to.lease = time.Time{}
 		} else {
-			p.lease = began.Add(s.Lease())
+			to.lease = began.Add(s.Lease())
 		}
 		switch {
 		case x.whole && a.Digest == x.digest && a.Count == x.count:
-			p.verified = true
-			if !p.inStep && time.Since(p.reported) > s.Contact/8 {
-				report.Partitions[p.number] = p.epoch
-				p.reported = time.Now()
+			to.verified = true
+			if !to.inStep && time.Since(to.reported) > s.Contact/8 {
+				report.Copies = append(report.Copies, core.Copy{Partition: p.number, Epoch: p.epoch, Store: to.store})
+				to.reported = time.Now()
 			}
-		case x.whole && time.Since(p.compared) > s.Contact/8:
-			p.compared = time.Now()
+		case x.whole && time.Since(to.compared) > s.Contact/8:
+			to.compared = time.Now()
 			n, epoch := p.number, p.epoch
-			s.tasks.Go(func() { s.compare(n, epoch) })
+			s.tasks.Go(func() { s.compare(n, epoch, to.store) })
 		}
-		if len(p.dirty) > 0 || len(p.extra) > 0 {
+		if len(to.dirty) > 0 || len(to.extra) > 0 {
 			l.nudge()
 		}
 	}
-	if len(report.Partitions) > 0 {
+	if len(report.Copies) > 0 {
 		s.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(s.ctx, s.Contact/4)
 			defer cancel()
@@ -266,9 +268,9 @@
 		}
 		p := s.parts[x.Number]
 		if p.epoch < x.Epoch { // the news come later than the batch
-			s.turn(p, core.Partition{Epoch: x.Epoch, Primary: b.From, Backup: s.Self})
+			s.turn(p, core.Partition{Epoch: x.Epoch, Primary: b.From, Backups: []core.Backup{{Store: s.Self}}})
 		}
-		if p.primary != b.From || p.backup != s.Self {
+		if p.primary != b.From || !p.backs {
 			out.Parts = append(out.Parts, CopiedShare{Number: x.Number, Stale: true})
 			continue
 		}
@@ -330,10 +332,9 @@
 }
 
 // compare finds in what the copies of a partition differ and mends both.
-func (s *Set) compare(n int, epoch int64) {
+func (s *Set) compare(n int, epoch int64, backup string) {
 	s.mu.Lock()
 	p := s.parts[n]
-	backup := p.backup
 	addr := s.placement.Stores[backup].Address
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, s.Contact/2)
@@ -351,18 +352,19 @@
 	}
 	var wanted []string
 	s.mu.Lock()
-	if p.epoch != epoch || p.primary != s.Self {
+	to := p.replica(backup)
+	if p.epoch != epoch || p.primary != s.Self || to == nil {
 		s.mu.Unlock()
 		return
 	}
 	queued := map[string]bool{}
-	for _, id := range p.extra {
+	for _, id := range to.extra {
 		queued[id] = true
 	}
 	var pending, rest []string
 	for id, r := range p.records {
 		state, ok := theirs[id]
-		if (!ok || state < r.State) && !queued[id] && p.dirty[id] == nil {
+		if (!ok || state < r.State) && !queued[id] && to.dirty[id] == nil {
 			if r.State == Complete {
 				rest = append(rest, id)
 			} else {
@@ -370,7 +372,7 @@
 			}
 		}
 	}
-	p.extra = append(append(p.extra, pending...), rest...)
+	to.extra = append(append(to.extra, pending...), rest...)
 	for id, state := range theirs {
 		if r := p.records[id]; r == nil || r.State < state {
 			wanted = append(wanted, id)
@@ -383,7 +385,7 @@
 		s.Log.Printf("repair: partition %d: %d records to %s, %d from it", n, more, backup, len(wanted))
 	}
 	if len(wanted) > 0 {
-		if err := s.fetch(ctx, n, wanted); err != nil {
+		if err := s.fetch(ctx, n, backup, wanted); err != nil {
 			s.Log.Printf("repair: partition %d: %v", n, err)
 		}
 	}
@@ -421,11 +423,11 @@
 	return &wire.Response{Status: 200, Body: append(append(front, '\n'), raw...)}
 }
 
-// fetch takes records from the backup and makes them the primary's own.
-func (s *Set) fetch(ctx context.Context, n int, ids []string) error {
+// fetch takes records from a backup and makes them the primary's own.
+func (s *Set) fetch(ctx context.Context, n int, backup string, ids []string) error {
 	s.mu.Lock()
 	p := s.parts[n]
-	epoch, addr := p.epoch, s.placement.Stores[p.backup].Address
+	epoch, addr := p.epoch, s.placement.Stores[backup].Address
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, s.Contact/8)
 	defer cancel()
@@ -493,8 +495,10 @@
 				delete(want, n)
 			case !p.closed && idle(n):
 				p.closed = true
-				s.wakeLink(p.backup)
-			case p.closed && len(p.dirty) == 0 && p.released:
+				for _, r := range p.replicas {
+					s.wakeLink(r.store)
+				}
+			case p.closed && p.given():
 				out[n] = epoch
 				delete(want, n)
 			}
@@ -513,6 +517,17 @@
 	return out
 }
 
+// given tells whether all backups that may succeed hold everything and took
+// the lease back.
+func (p *part) given() bool {
+	for _, r := range p.replicas {
+		if r.inStep && (len(r.dirty) > 0 || !r.released) {
+			return false
+		}
+	}
+	return true
+}
+
 // patience tells whether what is left is far from ready: some deliveries take
 // long, and the partitions that are ready do not wait for them.
 func (s *Set) patience(want map[int]int64) bool {
@@ -536,7 +551,10 @@
 		defer s.mu.Unlock()
 		for n, epoch := range list {
 			if p := s.parts[n]; p.epoch == epoch && p.frozen {
-				p.frozen, p.closed, p.released = false, false, false
+				p.frozen, p.closed = false, false
+				for _, r := range p.replicas {
+					r.released = false
+				}
 				close(p.moved)
 				p.moved = make(chan struct{})
 			}
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -52,7 +52,7 @@
 	go func() { _ = s.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	s.Place(core.Placement{Version: 1, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
-		Partitions: []core.Partition{{Epoch: 5, Primary: "other", Backup: "me", InStep: true}}})
+		Partitions: []core.Partition{{Epoch: 5, Primary: "other", Backups: []core.Backup{{Store: "me", InStep: true}}}}})
 	return s
 }
 
@@ -96,7 +96,7 @@
 func TestAPrimaryRefusesWhatItMustNotTake(t *testing.T) {
 	s := open(t)
 	s.Place(core.Placement{Version: 2, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
-		Partitions: []core.Partition{{Epoch: 6, Primary: "me", Backup: "other"}}})
+		Partitions: []core.Partition{{Epoch: 6, Primary: "me", Backups: []core.Backup{{Store: "other"}}}}})
 	s.mu.Lock()
 	s.put(s.parts[0], &Record{ID: "z", Tenant: "a"})
 	s.mu.Unlock()
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -33,6 +33,7 @@
 	// Bounds of what is kept, in bytes; 0 means none. A store over them takes
 	// no new messages.
 	MaxDisk, MaxMemory int64
+	Backups            int // how many other stores must hold a message before it is taken
 
 	disk   *disk
 	events chan struct{}
@@ -61,8 +62,7 @@
 	number  int
 	epoch   int64
 	primary string
-	backup  string
-	inStep  bool // as the placement says
+	backs   bool // this store is a backup
 
 	records  map[string]*Record
 	sequence int64
@@ -70,28 +70,55 @@
 	count    int
 
 	// At the primary:
-	dirty    map[string]*Record   // not yet at the backup
+	replicas []*replica
 	waiting  map[string]*accepted // accepted here, not yet certain
-	paired   bool                 // the backup answered in this epoch
-	extra    []string             // older records that the backup lacks
-	lease    time.Time
-	compared time.Time
-	frozen   bool // no new deliveries
-	closed   bool // no new messages either
-	released bool // the backup took the lease back
-	verified bool // the backup was seen to hold the same in this epoch
+	frozen   bool                 // no new deliveries
+	closed   bool                 // no new messages either
 	moved    chan struct{}
-	reported time.Time
 
 	// At the backup:
 	granted time.Time // the primary may deliver until then
 }
 
-// accepted is a message on its way to two disks.
+// replica is what the primary knows of one backup.
+type replica struct {
+	store, disk string
+	inStep      bool               // it may succeed
+	dirty       map[string]*Record // not yet there
+	extra       []string           // older records that it lacks
+	paired      bool               // it answered in this epoch
+	verified    bool               // it was seen to hold the same in this epoch
+	released    bool               // it took the lease back
+	lease       time.Time
+	compared    time.Time
+	reported    time.Time
+}
+
+func (p *part) replica(store string) *replica {
+	for _, r := range p.replicas {
+		if r.store == store {
+			return r
+		}
+	}
+	return nil
+}
+
+// verified tells whether all backups were seen to hold the same.
+func (p *part) verified() bool {
+	for _, r := range p.replicas {
+		if !r.verified {
+			return false
+		}
+	}
+	return true
+}
+
+// accepted is a message on its way to the disks.
 type accepted struct {
-	record        *Record
-	local, remote bool
-	done          chan struct{}
+	record *Record
+	local  bool
+	remote map[string]bool // by the disk of a backup
+	done   chan struct{}
 }
 
 // Lease is how long a primary may deliver after its backup has answered.
@@ -178,11 +205,11 @@
 	p.sequence++
 	r.Sequence, r.Epoch, r.Length = p.sequence, p.epoch, len(r.Body)
 	s.put(p, r)
-	if p.backup != "" {
-		p.dirty[r.ID] = r
-	}
 	s.write(p, r, done)
-	s.wakeLink(p.backup)
+	for _, x := range p.replicas {
+		x.dirty[r.ID] = r
+		s.wakeLink(x.store)
+	}
 }
 
 // Place takes a new placement over.
@@ -196,7 +223,7 @@
 	mine := next.Stores[s.Self].Disk == s.disk.identity
 	for i, x := range next.Partitions {
 		if i >= len(s.parts) {
-			p := &part{number: i, records: map[string]*Record{}, dirty: map[string]*Record{}, waiting: map[string]*accepted{},
+			p := &part{number: i, records: map[string]*Record{}, waiting: map[string]*accepted{},
 				moved: make(chan struct{}), granted: s.started.Add(s.Lease()), epoch: s.fence[i]}
 			for _, r := range s.loaded[i] {
 				s.put(p, r)
@@ -207,12 +234,16 @@
 		p := s.parts[i]
 		if x.Epoch < p.epoch || x.Epoch == p.epoch && p.primary != "" {
 			if x.Epoch == p.epoch {
-				p.inStep = x.InStep
+				for _, b := range x.Backups {
+					if r := p.replica(b.Store); r != nil {
+						r.inStep = b.InStep
+					}
+				}
 			}
 			continue
 		}
 		if !mine {
-			x.Primary, x.Backup = "", ""
+			x.Primary, x.Backups = "", nil
 		}
 		s.turn(p, x)
 	}
@@ -224,18 +255,34 @@
 // turn changes the roles of a partition. The lock is held.
 func (s *Set) turn(p *part, x core.Partition) {
 	led := p.primary == s.Self
-	p.epoch, p.primary, p.backup, p.inStep = x.Epoch, x.Primary, x.Backup, x.InStep
-	p.paired, p.extra, p.compared, p.reported = false, nil, time.Time{}, time.Time{}
-	p.frozen, p.closed, p.released, p.verified = false, false, false, false
+	p.epoch, p.primary, p.backs = x.Epoch, x.Primary, x.Backup(s.Self) >= 0
+	p.frozen, p.closed = false, false
 	s.fence[p.number] = p.epoch
 	s.disk.put(change{key: []byte("fence"), value: encodeFence(s.fence), meta: true})
 	close(p.moved)
 	p.moved = make(chan struct{})
 	leads := p.primary == s.Self
+	before := p.replicas
+	p.replicas = nil
+	if leads {
+		for _, b := range x.Backups {
+			r := &replica{store: b.Store, disk: s.placement.Stores[b.Store].Disk, inStep: b.InStep, dirty: map[string]*Record{}}
+			known := false
+			for _, old := range before {
+				if led && old.store == r.store && old.disk == r.disk { // what it lacks it still lacks
+					r.dirty, r.extra, known = old.dirty, old.extra, true
+				}
+			}
+			for id := range p.waiting { // what is not certain goes to a new one
+				if !known {
+					r.dirty[id] = p.records[id]
+				}
+			}
+			p.replicas = append(p.replicas, r)
+		}
+	}
 	switch {
 	case leads && !led:
-		p.lease = time.Time{}
-		p.dirty = map[string]*Record{}
 		var pending []*Record
 		for _, r := range p.records {
 			if r.State == Pending {
@@ -244,22 +291,19 @@
 		}
 		slices.SortFunc(pending, func(a, b *Record) int { return cmp.Compare(a.Order, b.Order) })
 		s.emit(Event{Partition: p.number, Lead: true, Records: pending})
-	case leads: // a new backup: what was not certain goes to it
-		p.dirty = map[string]*Record{}
-		for id, w := range p.waiting {
-			w.remote = false
-			p.dirty[id] = p.records[id]
+	case leads: // with fewer backups a message may be certain now
+		for _, w := range p.waiting {
+			s.settle(p, w)
 		}
 	case led:
 		p.granted = time.Time{}
 		for id := range p.waiting {
 			delete(p.waiting, id) // those who wait learn of it by the move
 		}
-		p.dirty = map[string]*Record{}
 		s.emit(Event{Partition: p.number, Follow: true})
 	}
-	if leads && p.backup != "" {
-		s.startLink(p.backup)
+	for _, r := range p.replicas {
+		s.startLink(r.store)
 	}
 }
 
@@ -270,10 +314,11 @@
 
 // unclear is the answer when a message may have been taken.
 func unclear(n int) error {
-	return &wire.Status{Code: 504, Text: fmt.Sprintf("partition %d: no second store answered in time", n)}
+	return &wire.Status{Code: 504, Text: fmt.Sprintf("partition %d: too few stores answered in time", n)}
 }
 
-// Accept takes a message: it returns nil once two disks hold it. After a 421
+// Accept takes a message: it returns nil once it is on as many disks as may be
+// lost, and one more. After a 421
 // or a 503 it is certain that it was not taken; any other error is unclear.
 func (s *Set) Accept(ctx context.Context, n int, r *Record) error {
 	logged := false
@@ -306,13 +351,13 @@
 		}
 		w := p.waiting[r.ID]
 		if p.records[r.ID] != nil && w == nil { // taken before
-			certain := p.verified
+			certain := len(p.replicas) >= s.Backups && p.verified()
 			s.mu.Unlock()
 			if certain {
 				return nil
 			}
 			logged = true
-			select { // until the backup is seen to hold it too
+			select { // until the backups are seen to hold it too
 			case <-time.After(s.Contact / 200):
 				continue
 			case <-ctx.Done():
@@ -320,9 +365,9 @@
 			}
 		}
 		if w == nil {
-			if p.backup == "" {
+			if len(p.replicas) < s.Backups {
 				s.mu.Unlock()
-				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has no second store", n)}
+				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has %d backups, %d are needed", n, len(p.replicas), s.Backups)}
 			}
 			if s.full {
 				s.mu.Unlock()
@@ -330,7 +375,7 @@
 			}
 			r.Partition = n
 			r.Order = p.sequence + 1
-			w = &accepted{record: r, done: make(chan struct{})}
+			w = &accepted{record: r, remote: map[string]bool{}, done: make(chan struct{})}
 			p.waiting[r.ID] = w
 			s.change(p, r, func() {
 				s.mu.Lock()
@@ -352,11 +397,16 @@
 	}
 }
 
-// settle ends the wait of a message that two disks hold. The lock is held.
+// settle ends the wait of a message that enough disks hold. The lock is held.
 func (s *Set) settle(p *part, w *accepted) {
-	if !w.local || !w.remote || p.waiting[w.record.ID] != w {
+	if !w.local || len(p.replicas) < s.Backups || p.waiting[w.record.ID] != w {
 		return
 	}
+	for _, r := range p.replicas {
+		if !w.remote[r.disk] {
+			return
+		}
+	}
 	delete(p.waiting, w.record.ID)
 	close(w.done)
 	if r := p.records[w.record.ID]; r != nil && r.State == Pending {
@@ -397,7 +447,13 @@
 	if p.primary != s.Self || p.frozen || now.Before(p.granted) {
 		return false
 	}
-	return p.backup == "" || now.Before(p.lease)
+	// Each backup that may succeed must have let this store deliver.
+	for _, r := range p.replicas {
+		if (r.inStep || r.paired) && !now.Before(r.lease) {
+			return false
+		}
+	}
+	return true
 }
 
 // Find gives the record of a message at its primary.
@@ -408,17 +464,29 @@
 		return nil, moved(n)
 	}
 	p := s.parts[n]
-	r, backup := p.records[id], p.backup
+	r := p.records[id]
+	var backups []string
+	for _, x := range p.replicas {
+		backups = append(backups, x.store)
+	}
 	s.mu.Unlock()
-	if r == nil && backup != "" {
-		// A read mends: the other copy may hold what this one lacks.
-		if err := s.fetch(ctx, n, []string{id}); err != nil {
-			return nil, err
+	var last error
+	for _, b := range backups {
+		if r != nil {
+			break
+		}
+		// A read mends: another copy may hold what this one lacks.
+		if err := s.fetch(ctx, n, b, []string{id}); err != nil {
+			last = err
+			continue
 		}
 		s.mu.Lock()
 		r = p.records[id]
 		s.mu.Unlock()
 	}
+	if r == nil && last != nil {
+		return nil, last
+	}
 	if r == nil {
 		return nil, &wire.Status{Code: 404, Text: "no such message"}
 	}
@@ -482,7 +550,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.placement.Partitions {
-		if x.Primary == s.Self || x.Backup == s.Self {
+		if x.Has(s.Self) {
 			return true
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,6 +40,7 @@
 	s.parts = &partition.Set{
 		Self: set.NodeName, Pool: s.node.Pool, Contact: set.Contact(), Log: logger,
 		Keep: settings.Seconds(set.Timers.StatusTtlS), Report: s.node.Report, Suspect: s.node.Suspect,
+		Backups: int(set.FaultTolerance.HostFailures),
 		MaxDisk: set.Limits.DiskMb << 20 * 3 / 4, MaxMemory: set.Limits.MemoryMb << 20 / 3,
 	}
 	if err := s.parts.Open(set.DataPath); err != nil {
