Disks that stall, slow or refuse are noticed; answers must repeat our attempt id

A store measures its own writes: one that does not come back, or writes that stay slow, make it miss its beats and fail the steward's probe, so its partitions are led elsewhere; refused writes are tried again instead of ending the process. A core whose disk refuses writes does not stand for a view. An answer counts only if it repeats the attempt id, and an idle connection with anything to read, or closed, is not used again. Handlers are judged by what becomes of deliveries; a broken idle connection is no sign against one; the last attempt of a message waits while its service is in trouble.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -121,6 +121,7 @@
 	active    bool // a pass of this view went through here
 	touched   time.Time
 	steady    time.Time // since when passes have come without a gap
+	refused   error     // of the last write, if the disk did not take it
 	adoptions int64
 	answered  map[Member]time.Time // when a voter last answered
 }
@@ -357,7 +358,7 @@
 		}
 		return c.saveView(tx)
 	})
-	if err != nil {
+	if c.refused = err; err != nil {
 		c.view, c.sequence, c.whole, c.active = view, before, whole, false
 		return fmt.Errorf("write control state: %w", err)
 	}
@@ -446,8 +447,14 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	view, whole := c.view, c.whole == c.view.Number
+	if c.refused != nil { // whether the disk works again
+		c.refused = c.db.Update(c.saveView)
+	}
+	view, whole, refused := c.view, c.whole == c.view.Number, c.refused
 	c.mu.Unlock()
+	if refused != nil {
+		return nil, &wire.Status{Code: 503, Text: "the disk refuses writes: " + refused.Error()}
+	}
 	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, c.Ready()}, nil
 }
 
@@ -536,7 +543,7 @@
 	view, whole := c.view, c.whole
 	c.enter(v)
 	if err := c.db.Update(c.saveView); err != nil {
-		c.view, c.whole = view, whole // what is not on disk is not sealed
+		c.view, c.whole, c.refused = view, whole, err // what is not on disk is not sealed
 		return fmt.Errorf("write the view: %w", err)
 	}
 	return nil
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -288,7 +288,7 @@
 
 func (s *service) handle(in *instance, r *wire.Request) *wire.Response {
 	if want := r.Header.Get("Saltreel-Expect-Instance"); want != "" && want != in.id {
-		return &wire.Response{Status: 421}
+		return &wire.Response{Status: 421, Header: []string{"Saltreel-Attempt-Id", r.Header.Get("Saltreel-Attempt-Id")}}
 	}
 	d := delivery{id: r.Header.Get("Saltreel-Attempt-Id"), key: r.Header.Get("Saltreel-Order-Key"), tenant: r.Header.Get("Saltreel-Tenant"),
 		body: string(r.Body), instance: in.id, at: time.Now()}
@@ -307,9 +307,9 @@
 	s.mu.Lock()
 	s.runs[at].ended = time.Now()
 	s.mu.Unlock()
-	res := &wire.Response{Status: status}
+	res := &wire.Response{Status: status, Header: []string{"Saltreel-Attempt-Id", d.id}}
 	if status == 200 {
-		res.Header = []string{"Saltreel-Server-Seal", "seal-" + d.id}
+		res.Header = append(res.Header, "Saltreel-Server-Seal", "seal-"+d.id)
 	}
 	return res
 }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -80,6 +80,7 @@
 	tokens float64
 	filled time.Time
 	paced  bool
+	bad    float64 // smoothed share of attempts that came to nothing
 }
 
 // target is one handler, or the fixed endpoint of a service.
@@ -90,6 +91,7 @@
 	failures int
 	shut     time.Time // no deliveries until then
 	trial    bool      // one delivery at a time until one succeeds
+	bad      float64   // smoothed share of attempts that came to nothing
 	warm     time.Time // slow until then
 }
 
@@ -482,6 +484,8 @@
 		if t.trial {
 			score += 1
 		}
+		// One that often fails is left to those for whom there is no other.
+		score += 4 * max(0, t.bad-ordinary)
 		score += rand.Float64() / 8
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
@@ -522,7 +526,9 @@
 	now := time.Now()
 	t.busy--
 	it.running = false
-	s.judge(t, res.Outcome, began, now)
+	if !res.Kept {
+		s.judge(t, it.service, res.Outcome, now)
+	}
 	if it.ended {
 		return
 	}
@@ -533,13 +539,25 @@
 	if res.Outcome == handler.Failed {
 		it.attempts++
 	}
-	it.due = now.Add(s.backoff(it, res.Outcome))
+	it.due = now.Add(s.backoff(it, res.Outcome, route))
 	s.enqueue(it)
 }
 
-// judge keeps away from a handler that fails.
-func (s *Scheduler) judge(t *target, o handler.Outcome, began, now time.Time) {
+// ordinary is the share of attempts that come to nothing without any trouble.
+const ordinary = 0.1
+
+// judge keeps away from a handler that fails. What it says of its health does
+// not count: what becomes of deliveries does.
+func (s *Scheduler) judge(t *target, svc *service, o handler.Outcome, now time.Time) {
 	contact := s.Settings.Contact()
+	if o != handler.NotRun {
+		failed := 0.0
+		if o != handler.Done && o != handler.Refused {
+			failed = 1
+		}
+		t.bad += (failed - t.bad) / 8
+		svc.bad += (failed - svc.bad) / 16
+	}
 	shut := func(base time.Duration) {
 		t.failures++
 		d := min(contact/8, base<<min(t.failures-1, 6))
@@ -551,8 +569,10 @@
 		t.failures, t.trial = 0, false
 	case handler.NotRun:
 		t.shut = now.Add(contact/200 + rand.N(contact/200)) // full for a moment
-	case handler.Wrong:
-		shut(contact / 4)
+	case handler.Wrong: // another one has its address: it lives no more
+		if list := s.targets[svc.name]; list[t.ID] == t {
+			delete(list, t.ID)
+		}
 	case handler.Silent:
 		s.Pool.Forget(t.Address) // its connections may hang
 		shut(contact / 40)
@@ -564,8 +584,13 @@
 }
 
 // backoff is the pause before an item is tried again.
-func (s *Scheduler) backoff(it *item, o handler.Outcome) time.Duration {
+func (s *Scheduler) backoff(it *item, o handler.Outcome, route *configuration.Route) time.Duration {
 	base := s.Settings.Contact() / 200
+	if o == handler.Failed && it.attempts+1 >= int(route.MaxAttempts) && it.service.bad > 2*ordinary {
+		// The last attempt of a message is not spent on a service in trouble.
+		base = s.Settings.Contact() / 2
+		return base/2 + rand.N(base)
+	}
 	if o == handler.Failed || o == handler.Unclear || o == handler.Silent {
 		base <<= min(it.tries-1, 4)
 	}
--- a/internal/handler/deliver.go
+++ b/internal/handler/deliver.go
@@ -51,13 +51,14 @@
 	Seal    string
 	Status  int
 	Err     error
+	Kept    bool // an idle connection broke: no sign against the handler
 }
 
 // Deliver makes the attempt.
 func Deliver(ctx context.Context, pool *wire.Pool, d Delivery) Result {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
-	call := &wire.Call{Method: d.Method, Target: d.Target, Host: d.Host, Body: d.Body, Header: []string{
+	call := &wire.Call{Method: d.Method, Target: d.Target, Host: d.Host, Body: d.Body, Repeats: "Saltreel-Attempt-Id", Header: []string{
 		"Saltreel-Attempt-Id", d.ID,
 		"Saltreel-Deadline-Ms", strconv.FormatInt(d.Timeout.Milliseconds(), 10),
 	}}
@@ -72,7 +73,8 @@
 		if wire.NotSent(err) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 			return Result{Outcome: Silent, Err: err}
 		}
-		return Result{Outcome: Unclear, Err: err}
+		var e *wire.Error
+		return Result{Outcome: Unclear, Err: err, Kept: errors.As(err, &e) && e.Kept}
 	}
 	return classify(a)
 }
--- a/internal/handler/sink.go
+++ b/internal/handler/sink.go
@@ -22,7 +22,7 @@
 			return &wire.Response{Status: 200}
 		}
 		fmt.Fprintf(out, "%s %s%s of tenant %q, message %s: %q\n", r.Method, r.Host, r.RequestURI, r.Header.Get("Saltreel-Tenant"), r.Header.Get("Saltreel-Attempt-Id"), r.Body)
-		return &wire.Response{Status: 200, Header: []string{"Saltreel-Server-Seal", rand.Text()}}
+		return &wire.Response{Status: 200, Header: []string{"Saltreel-Server-Seal", rand.Text(), "Saltreel-Attempt-Id", r.Header.Get("Saltreel-Attempt-Id")}}
 	}}
 	return s.Serve(ctx, l)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	Pool     *wire.Pool // to our own processes
 	Journal  *journal.Journal
 	Self     relay.Node
+	Healthy  func() bool // whether to beat: a store whose disk fails is missed like a dead one
 
 	follower *relay.Follower
 	table    atomic.Pointer[configuration.Table]
@@ -167,7 +168,11 @@
 		self := n.Self
 		self.Sequence, self.Leaving = n.sequence, n.leaving
 		n.mu.Unlock()
-		for _, w := range ring.Watchers(n.Self.Name, n.Cores(), watchers) {
+		watched := ring.Watchers(n.Self.Name, n.Cores(), watchers)
+		if n.Healthy != nil && !n.Healthy() {
+			watched = nil
+		}
+		for _, w := range watched {
 			n.reports.Go(func() {
 				bctx, cancel := context.WithTimeout(ctx, every*2)
 				defer cancel()
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -28,9 +28,12 @@
 	db       *bbolt.DB
 	identity string
 
-	mu    sync.Mutex
-	queue []change
-	wake  chan struct{}
+	mu      sync.Mutex
+	queue   []change
+	wake    chan struct{}
+	began   time.Time     // of the write under way; zero if there is none
+	usual   time.Duration // smoothed time of a write
+	refused error         // of the last write, if the disk did not take it
 }
 
 // change is one write; done is called when it is on disk.
@@ -130,8 +133,29 @@
 	}
 }
 
-// run writes until ctx ends and nothing is left to write.
-func (d *disk) run(ctx context.Context) error {
+// health tells what is wrong with the disk: a write that is under way for too
+// long, writes that have been slow of late, or one that was refused.
+func (d *disk) health(most, usual time.Duration) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	age := time.Duration(0)
+	if !d.began.IsZero() {
+		age = time.Since(d.began)
+	}
+	switch {
+	case d.refused != nil:
+		return fmt.Errorf("the disk refuses writes: %w", d.refused)
+	case age > most:
+		return fmt.Errorf("the disk has not answered for %v", age.Round(time.Millisecond))
+	case d.usual > usual:
+		return fmt.Errorf("the disk takes %v for a write", d.usual.Round(time.Millisecond))
+	}
+	return nil
+}
+
+// run writes until ctx ends and nothing is left to write. What the disk
+// refuses is tried again: the messages wait, and nothing is told of them.
+func (d *disk) run(ctx context.Context, pause time.Duration, warn func(format string, args ...any)) error {
 	for {
 		d.mu.Lock()
 		batch := d.queue
@@ -145,29 +169,25 @@
 				return d.db.Close()
 			}
 		}
-		err := d.db.Update(func(tx *bbolt.Tx) error {
-			records, meta := tx.Bucket(bucketRecords), tx.Bucket(bucketMeta)
-			for _, c := range batch {
-				if c.key == nil {
-					continue
-				}
-				b := records
-				if c.meta {
-					b = meta
-				}
-				if c.value == nil {
-					if err := b.Delete(c.key); err != nil {
-						return err
-					}
-				} else if err := b.Put(c.key, c.value); err != nil {
-					return err
-				}
+		for err := d.commit(batch); err != nil; err = d.commit(batch) {
+			d.mu.Lock()
+			if d.refused == nil {
+				warn("disk: %d changes are not written: %v", len(batch), err)
+			}
+			d.refused = err
+			d.mu.Unlock()
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+				return errors.Join(fmt.Errorf("write to disk: %w", err), d.db.Close())
 			}
-			return nil
-		})
-		if err != nil {
-			return fmt.Errorf("write to disk: %w", err)
 		}
+		d.mu.Lock()
+		if d.refused != nil {
+			warn("disk: writes again")
+		}
+		d.refused = nil
+		d.mu.Unlock()
 		for _, c := range batch {
 			if c.done != nil {
 				c.done()
@@ -175,3 +195,37 @@
 		}
 	}
 }
+
+// commit makes one transaction of a batch.
+func (d *disk) commit(batch []change) error {
+	began := time.Now()
+	d.mu.Lock()
+	d.began = began
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		d.began = time.Time{}
+		d.usual += (time.Since(began) - d.usual) / 4
+		d.mu.Unlock()
+	}()
+	return d.db.Update(func(tx *bbolt.Tx) error {
+		records, meta := tx.Bucket(bucketRecords), tx.Bucket(bucketMeta)
+		for _, c := range batch {
+			if c.key == nil {
+				continue
+			}
+			b := records
+			if c.meta {
+				b = meta
+			}
+			if c.value == nil {
+				if err := b.Delete(c.key); err != nil {
+					return err
+				}
+			} else if err := b.Put(c.key, c.value); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -149,7 +149,8 @@
 func (s *Set) Run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, s.stop)()
 	s.tasks.Go(func() { s.sweep(ctx) })
-	err := s.disk.run(ctx)
+	s.tasks.Go(func() { s.watch(ctx) })
+	err := s.disk.run(ctx, s.Contact/40, s.Log.Printf)
 	s.tasks.Wait()
 	return err
 }
@@ -493,6 +494,33 @@
 	return r, nil
 }
 
+// Health tells what is wrong with the disk, if anything is.
+func (s *Set) Health() error { return s.disk.health(s.Contact/16, s.Contact/50) }
+
+// watch reports this store itself when its disk fails, and writes now and then
+// while it does, so that it is noticed when the disk is well again.
+func (s *Set) watch(ctx context.Context) {
+	tick := time.NewTicker(s.Contact / 40)
+	defer tick.Stop()
+	ill := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		err := s.Health()
+		if err != nil {
+			s.Suspect(s.Self, false)
+			s.disk.put(change{key: []byte("probe"), value: []byte{}, meta: true})
+		}
+		if (err != nil) != ill {
+			ill = err != nil
+			s.Log.Printf("disk: ill: %v: %v", ill, err)
+		}
+	}
+}
+
 // measure decides whether the store is full. The lock is held.
 func (s *Set) measure() {
 	disk := s.disk.used()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,6 +47,7 @@
 		return nil, err
 	}
 	s.node.Self.Disk = s.parts.Identity()
+	s.node.Healthy = func() bool { return s.parts.Health() == nil }
 	s.bytes = quota.NewManager(quota.DeliveryBytes)
 	s.deliver = &delivery.Scheduler{
 		Set: s.parts, Settings: set, Log: logger, Table: s.node.Table, Bytes: s.bytes,
@@ -93,7 +94,7 @@
 	source := s.node.Source()
 	mux := wire.Mux{
 		"/news":     wire.Method(source.Handle),
-		"/ping":     wire.Method(core.Ping),
+		"/ping":     wire.Method(s.handlePing),
 		"/copy":     wire.Method(s.parts.HandleCopy),
 		"/digest":   wire.Method(s.parts.HandleDigest),
 		"/fetch":    s.parts.HandleFetch,
@@ -139,6 +140,14 @@
 	return <-failed
 }
 
+// handlePing answers that the process runs and its disk works.
+func (s *Store) handlePing(context.Context, *struct{}, []byte) (*struct{}, error) {
+	if err := s.parts.Health(); err != nil {
+		return nil, &wire.Status{Code: 503, Text: err.Error()}
+	}
+	return &struct{}{}, nil
+}
+
 // partitions is how many there are, 0 before the placement is known.
 func (s *Store) partitions() int {
 	if p := s.node.Placement(); p != nil {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -43,6 +43,17 @@
 	Method, Target, Host string
 	Header               []string // names and values in turn
 	Body                 []byte
+	Repeats              string // a header that the answer must repeat as it was sent
+}
+
+// sent is the value of a header of the call.
+func (c *Call) sent(name string) string {
+	for i := 0; i+1 < len(c.Header); i += 2 {
+		if c.Header[i] == name {
+			return c.Header[i+1]
+		}
+	}
+	return ""
 }
 
 // Answer is a response, its body read.
@@ -57,6 +68,7 @@
 	Step, Peer string
 	Sent       bool // whether any byte of the request may have arrived
 	Err        error
+	Kept       bool // a connection that had been idle broke before any answer
 }
 
 func (e *Error) Error() string { return e.Step + " " + e.Peer + ": " + e.Err.Error() }
@@ -101,7 +113,7 @@
 		}
 		c := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
-		if c.until.IsZero() || time.Now().Before(c.until) {
+		if (c.until.IsZero() || time.Now().Before(c.until)) && quiet(c.Conn) {
 			return c
 		}
 		p.open[addr]--
@@ -109,6 +121,25 @@
 	}
 }
 
+// quiet tells whether an idle connection is as it should be: open, and with
+// nothing to read. An answer to nobody's question must not become the next one's.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = err == syscall.EAGAIN || err == syscall.EINTR
+	})
+	return err == nil && still
+}
+
 func (p *Pool) give(addr string, c *clientConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -164,7 +195,7 @@
 		if c == nil {
 			nc, err := p.dial(ctx, addr)
 			if err != nil {
-				return nil, &Error{"dial", addr, sent, err}
+				return nil, &Error{Step: "dial", Peer: addr, Sent: sent, Err: err}
 			}
 			c = &clientConn{Conn: nc, br: bufio.NewReaderSize(nc, 4096)}
 			p.count(addr, 1)
@@ -187,7 +218,7 @@
 		}
 		var e *Error
 		if errors.As(err, &e) {
-			e.Peer = addr
+			e.Peer, e.Kept = addr, c.used && !began
 		}
 		return nil, err
 	}
@@ -239,22 +270,25 @@
 	buf = append(buf, "\r\n"...)
 	buf = append(buf, call.Body...)
 	if _, err := c.Write(buf); err != nil {
-		return nil, false, &Error{"write", "", true, err}
+		return nil, false, &Error{Step: "write", Sent: true, Err: err}
 	}
 	if _, err := c.br.Peek(1); err != nil {
-		return nil, false, &Error{"wait", "", true, err}
+		return nil, false, &Error{Step: "wait", Sent: true, Err: err}
 	}
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: call.Method})
 	for err == nil && resp.StatusCode < 200 {
 		resp, err = http.ReadResponse(c.br, &http.Request{Method: call.Method})
 	}
 	if err != nil {
-		return nil, true, &Error{"read", "", true, err}
+		return nil, true, &Error{Step: "read", Sent: true, Err: err}
 	}
 	body, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	if err != nil {
-		return nil, true, &Error{"read body", "", true, err}
+		return nil, true, &Error{Step: "read body", Sent: true, Err: err}
+	}
+	if want := call.sent(call.Repeats); call.Repeats != "" && resp.Header.Get(call.Repeats) != want {
+		return nil, true, &Error{Step: "match answer", Sent: true, Err: fmt.Errorf("%s is %q, not %q", call.Repeats, resp.Header.Get(call.Repeats), want)}
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Header.Set("Connection", "close")
@@ -296,7 +330,7 @@
 func (p *Pool) Post(ctx context.Context, addr, path string, in any, raw []byte, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
-		return &Error{"encode " + path, addr, false, err}
+		return &Error{Step: "encode " + path, Peer: addr, Err: err}
 	}
 	if raw != nil {
 		body = append(append(body, '\n'), raw...)
@@ -306,13 +340,13 @@
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	if a.Status/100 != 2 {
-		return &Error{path, addr, true, &Status{a.Status, string(bytes.TrimSpace(a.Body))}}
+		return &Error{Step: path, Peer: addr, Sent: true, Err: &Status{a.Status, string(bytes.TrimSpace(a.Body))}}
 	}
 	if out == nil {
 		return nil
 	}
 	if err := json.Unmarshal(a.Body, out); err != nil {
-		return &Error{"decode " + path, addr, true, err}
+		return &Error{Step: "decode " + path, Peer: addr, Sent: true, Err: err}
 	}
 	return nil
 }
