Grants one by one where messages are few; exchanges carry what was heard itself

Each edge asked ahead for every tenant it had seen, and what lay idle at 61 edges was lost. Now an edge asks ahead only where a round sees a message or more, gives back what it did not use, and a slow tenant's meter holds half of quota-allowance beyond its burst.

Cores sent each other everything they had heard, from whomever: bytes grew with cores squared times all nodes and handlers. Now each sends what itself heard, half as often; the watchers of a store report its silence to the steward, which before looked at the exchanges; edges beat half as often; a duty is renewed when three eighths of its lease are over.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -216,6 +216,14 @@
 	return d.term, time.Now().Before(d.until)
 }
 
+// Left is how long this process still holds the duty, and whether it does.
+func (d *Duty) Left() (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	left := time.Until(d.until)
+	return left, left > 0
+}
+
 // Round asks once: to renew the duty if it is held, else to win it. Floor is
 // the highest term known from elsewhere.
 func (d *Duty) Round(ctx context.Context, floor int64) {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -257,7 +257,7 @@
 }
 
 func (c *Chain) isSteady() bool {
-	return c.active && c.view.at(c.Self) >= 0 && time.Since(c.touched) < c.Contact/2
+	return c.view.at(c.Self) >= 0 && time.Since(c.touched) < c.Contact/2
 }
 
 // SteadyFor is how long this machine has been steady without a gap.
@@ -273,7 +273,7 @@
 // touch notes that all members hold what this one holds. The lock is held.
 func (c *Chain) touch() {
 	now := time.Now()
-	if !c.active || now.Sub(c.touched) > c.Contact/2 {
+	if now.Sub(c.touched) > c.Contact/2 {
 		c.steady = now
 	}
 	c.active, c.touched = true, now
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,6 @@
 
 	mu        sync.Mutex
 	placement Placement
-	heardFrom map[string]time.Time // other cores
 	dead      map[string]time.Time // nodes found dead, and when
 	loaded    bool                 // a majority of the voters told its registry
 	ready     map[int]int64        // partitions whose primary stopped, by epoch
@@ -75,7 +74,7 @@
 func New(set *settings.Settings, network wire.Network, logger *log.Logger) (*Core, error) {
 	c := &Core{
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
-		heardFrom: map[string]time.Time{}, dead: map[string]time.Time{}, ready: map[int]int64{},
+		dead: map[string]time.Time{}, ready: map[int]int64{},
 		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{}, kept: map[string]int64{},
 		wake: make(chan struct{}, 1), probing: map[string]bool{},
 	}
@@ -325,11 +324,11 @@
 
 // gossip exchanges the registry with the other cores and drops what is silent.
 func (c *Core) gossip(ctx context.Context) {
-	tick := time.NewTicker(c.contact / 8)
+	tick := time.NewTicker(c.contact / 4)
 	defer tick.Stop()
 	keepalive := settings.Ms(float64(max(c.set.KeepaliveMs, 1)))
 	for n := int64(1); ; n++ {
-		c.registry.put(Item{Key: relay.PrefixNode + c.node.Name, Version: journal.Version{Major: c.node.Life, Minor: n}, Value: journal.Encode(c.node)})
+		c.registry.hear(Item{Key: relay.PrefixNode + c.node.Name, Version: journal.Version{Major: c.node.Life, Minor: n}, Value: journal.Encode(c.node)})
 		for _, peer := range c.peers() {
 			c.tasks.Go(func() { c.exchange(ctx, peer) })
 		}
@@ -378,7 +377,6 @@
 	}
 	c.mu.Lock()
 	c.sentAt[peer] = now
-	c.heardFrom[peer] = time.Now()
 	for _, it := range items {
 		sent[it.Key] = it.Version
 	}
@@ -435,7 +433,7 @@
 
 func (c *Core) handleNode(_ context.Context, n *relay.Node, _ []byte) (*struct{}, error) {
 	it := Item{Key: relay.PrefixNode + n.Name, Version: journal.Version{Major: n.Life, Minor: n.Sequence}, Value: journal.Encode(n)}
-	if c.registry.put(it) {
+	if c.registry.hear(it) {
 		c.nudge()
 		c.spread(it)
 	}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -19,7 +19,9 @@
 	value   json.RawMessage // null once gone
 	node    relay.Node      // the value, where it is one of our own processes
 	seen    time.Time
-	told    time.Time // when this core last changed or saw it, for exchanges
+	told    time.Time // when this core last heard it itself or learned a change, for exchanges
+	heard   time.Time // when it last beat to this core
+	missed  time.Time // when this core last reported its silence
 	settled int64     // 1 once it is sure that the draining lasts, 2 that the end does
 }
 
@@ -53,6 +55,34 @@
 	return it.Version.Major >= drains && strings.HasPrefix(it.Key, relay.PrefixInstance)
 }
 
+// hear merges what a node or handler itself said to this core.
+func (r *registry) hear(it Item) bool {
+	changed := r.put(it)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.entries[it.Key]; e != nil {
+		e.heard = time.Now()
+		e.told = e.heard
+	}
+	return changed
+}
+
+// silent lists the stores that used to beat to this core and have been silent
+// for longer than a bound, each once in that time.
+func (r *registry) silent(bound, most time.Duration) (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for k, e := range r.entries {
+		name, ok := strings.CutPrefix(k, relay.PrefixNode)
+		if ok && e.node.Role == "store" && !e.heard.IsZero() && now.Sub(e.heard) > bound && now.Sub(e.heard) < most && now.Sub(e.missed) > bound {
+			e.missed = now
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // put merges an entry; it tells whether it was newer than what was held.
 func (r *registry) put(it Item) bool {
 	r.mu.Lock()
@@ -68,7 +98,7 @@
 		r.entries[it.Key] = e
 	}
 	if seen.After(e.seen) && !it.Version.Less(e.version) {
-		e.seen, e.told = seen, now
+		e.seen = seen
 	}
 	if !e.version.Less(it.Version) {
 		return false
@@ -78,7 +108,7 @@
 		return false
 	}
 	changed := !sameValue(e.value, it.Value)
-	e.value, e.told = it.Value, now
+	e.value = it.Value
 	if strings.HasPrefix(it.Key, relay.PrefixNode) {
 		e.node = relay.Node{}
 		_ = json.Unmarshal(it.Value, &e.node)
@@ -87,7 +117,7 @@
 		e.changed = it.Changed
 	}
 	if changed {
-		e.changed = it.Version
+		e.changed, e.told = it.Version, now
 		r.journal.Append(journal.Event{Key: it.Key, Version: it.Version, Value: it.Value})
 	}
 	return changed
@@ -257,7 +287,7 @@
 	if it.leaving() {
 		return c.depart(ctx, it)
 	}
-	if c.registry.put(it) {
+	if c.registry.hear(it) {
 		c.spread(it)
 	}
 	return nil
@@ -270,7 +300,7 @@
 
 // depart makes a leaving last. Once it does, repeated beats cost nothing.
 func (c *Core) depart(ctx context.Context, it Item) error {
-	c.registry.put(it)
+	c.registry.hear(it)
 	if c.registry.settled(it, false) {
 		return nil
 	}
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -124,9 +124,10 @@
 		if !c.chain.Steady() {
 			continue
 		}
+		c.missed(ctx)
 		c.duty.Voters = c.chain.Voters()
 		// Not all candidates ask at the same moment for a vacant duty.
-		if _, held := c.duty.Held(); !nudged && (held || rand.IntN(len(c.duty.Voters)+1) == 0) {
+		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && rand.IntN(len(c.duty.Voters)+1) == 0) {
 			c.duty.Round(ctx, c.Placement().Term)
 		}
 		term, held := c.duty.Held()
@@ -178,7 +179,23 @@
 	}
 }
 
-// watch looks at all stores; those that were silent for a while are probed.
+// missed reports the stores that this core watches and that fell silent to
+// whichever core is the steward.
+func (c *Core) missed(ctx context.Context) {
+	for _, name := range c.registry.silent(c.contact/8, c.contact) {
+		in := Suspicion{Node: name}
+		_, _ = c.handleSuspect(ctx, &in, nil)
+		for _, peer := range c.peers() {
+			c.tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(c.life, c.contact/8)
+				defer cancel()
+				_ = c.pool.Post(ctx, peer, "/suspect", in, nil, nil)
+			})
+		}
+	}
+}
+
+// watch looks at all stores; those of which nothing was heard for long are probed.
 func (c *Core) watch(ctx context.Context) map[string]StoreStatus {
 	out := map[string]StoreStatus{}
 	var probes sync.WaitGroup
@@ -186,7 +203,7 @@
 		if n.Role != "store" {
 			continue
 		}
-		if n.age > c.contact/8 {
+		if n.age > c.contact/2 {
 			probes.Go(func() { c.probe(ctx, name) })
 		}
 	}
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -139,7 +139,9 @@
 				}
 				continue
 			}
-			if x.asking == nil && !now.Before(x.refused) && (x.left < g.ahead(x)/2 || now.After(x.until)) {
+			// Where messages are few, what is asked ahead would lie idle here while
+			// other edges lack it: their grants are asked for one by one.
+			if x.rate*g.round().Seconds() >= 1 && x.asking == nil && !now.Before(x.refused) && (x.left < g.ahead(x)/2 || now.After(x.until)) {
 				x.asking = make(chan struct{})
 				names = append(names, name)
 			}
@@ -152,13 +154,13 @@
 }
 
 // ahead is what is wanted in hand: the demand of a few rounds.
-func (g *grants) ahead(x *grant) float64 { return math.Ceil(x.rate*4*g.round().Seconds()) + 1 }
+func (g *grants) ahead(x *grant) float64 { return math.Floor(x.rate*3*g.round().Seconds()) + 1 }
 
 // ask gets grants for tenants from their meters.
 func (g *grants) ask(ctx context.Context, names []string) {
 	ctx, cancel := context.WithTimeout(ctx, g.node.Settings.Contact()/16)
 	defer cancel()
-	byStore := map[string]map[string]float64{}
+	byStore := map[string]store.Grant{}
 	p := g.node.Placement()
 	g.mu.Lock()
 	for _, name := range names {
@@ -166,29 +168,33 @@
 		if x == nil {
 			continue
 		}
-		want := max(1, g.ahead(x)-x.left)
-		if p != nil && len(p.Partitions) > 0 {
-			at := p.Partitions[store.MeterPartition(name, len(p.Partitions))].Primary
-			if byStore[at] == nil {
-				byStore[at] = map[string]float64{}
-			}
-			byStore[at][name] = want
+		if p == nil || len(p.Partitions) == 0 {
+			continue
+		}
+		at := p.Partitions[store.MeterPartition(name, len(p.Partitions))].Primary
+		if byStore[at].Want == nil {
+			byStore[at] = store.Grant{Partitions: len(p.Partitions), Want: map[string]float64{}, Back: map[string]float64{}}
+		}
+		if x.left > 0 && time.Now().After(x.until) { // what was not used goes back
+			byStore[at].Back[name] = x.left
+			x.left = 0
 		}
+		byStore[at].Want[name] = max(1, g.ahead(x)-x.left)
 	}
 	g.mu.Unlock()
 	var tasks sync.WaitGroup
-	for at, want := range byStore {
+	for at, in := range byStore {
 		tasks.Go(func() {
 			began := time.Now()
 			var out store.Granted
-			err := g.node.Pool.Post(ctx, p.Stores[at].Address, "/grant", store.Grant{Partitions: len(p.Partitions), Want: want}, nil, &out)
+			err := g.node.Pool.Post(ctx, p.Stores[at].Address, "/grant", in, nil, &out)
 			if err != nil {
 				return
 			}
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			now := time.Now()
-			for name, w := range want {
+			for name, w := range in.Want {
 				x := g.tenants[name]
 				if x == nil {
 					continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,9 +156,9 @@
 
 // beat sends heartbeats to the watchers on the ring of cores.
 func (n *Node) beat(ctx context.Context) {
-	every := n.Settings.Contact() / 8
+	every := n.Settings.Contact() / 4
 	if n.Self.Role == "store" {
-		every /= 2 // stores are missed sooner
+		every /= 4 // stores are missed sooner
 	}
 	tick := time.NewTicker(every)
 	defer tick.Stop()
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -13,7 +13,10 @@
 // meters count the accepted messages of tenants over all nodes. The meter of a
 // tenant runs where the partition of its name is led; edges ask it for grants.
 type meters struct {
-	first float64 // what a new meter may give at once, well within quota-allowance
+	// share is half of quota-allowance: what a new meter may give at once, and
+	// what a slow tenant's meter holds beyond the burst, for the grants that
+	// lie idle at edges. Those of a fast one are used soon.
+	share float64
 	leads func(n int) bool
 	table func() *configuration.Table
 
@@ -31,6 +34,7 @@
 type Grant struct {
 	Partitions int                `json:"partitions"`
 	Want       map[string]float64 `json:"want"`
+	Back       map[string]float64 `json:"back,omitempty"` // granted earlier and not used
 }
 
 // Granted gives them, and tells how long to wait for the next where nothing is left.
@@ -62,7 +66,8 @@
 			continue
 		}
 		x := m.meter(name, now)
-		x.tokens = min(math.Max(1, tenant.BurstSize), x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds())
+		most := math.Max(1, tenant.BurstSize) + max(0, m.share-tenant.RatePerS/10)
+		x.tokens = min(most, x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds()+in.Back[name])
 		x.filled = now
 		give := min(math.Floor(x.tokens), math.Ceil(want))
 		x.tokens -= give
@@ -79,7 +84,7 @@
 func (m *meters) meter(name string, now time.Time) *meter {
 	x := m.tenants[name]
 	if x == nil {
-		x = &meter{tokens: m.first, filled: now}
+		x = &meter{tokens: m.share, filled: now}
 		m.tenants[name] = x
 	}
 	return x
