After a loss of power cores place at once; those who wait doubt their news

Now the head speaks at once and often until heard, votes are withheld for an eighth of that (what a late holder writes is fenced anyway), and a steward that heard every store begins. An edge whose call hangs asks another parent for news: its parent may be the store that is cut off. A relay that no parent answers says so at once. Requests do not wait for a meter that hangs.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -55,7 +55,8 @@
 
 	mu     sync.Mutex
 	duties map[string]grant
-	Silent time.Time // no duty is granted before: an earlier life may have
+	Silent time.Time // no duty is granted before: an earlier life may have. What a holder writes
+	// is fenced by its term and version, so a short while will do.
 }
 
 type grant struct {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -552,8 +552,8 @@
 // Tend keeps the chain whole until ctx ends: the head sends signs of life down
 // it, and whoever misses a neighbour calls for a new view.
 func (c *Chain) Tend(ctx context.Context) {
-	started := time.Now()
-	timer := time.NewTicker(c.Contact / 16)
+	started, mended := time.Now(), time.Time{}
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
@@ -561,24 +561,32 @@
 			return
 		case <-timer.C:
 		}
+		c.mu.Lock()
+		next := c.Contact / 16
+		if !c.active { // those that follow may start at any moment
+			next = c.Contact / 80
+		}
+		c.mu.Unlock()
+		timer.Reset(next)
 		view := c.View()
 		head := view.at(c.Self) == 0
 		if head {
 			err := c.Propose(ctx, func(Documents) (Documents, error) { return nil, nil })
-			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 {
+			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
 				c.Log.Printf("chain: sign of life: %v", err)
 			}
 		}
 		c.mu.Lock()
 		quiet := time.Since(c.touched) > c.Contact/4
 		c.mu.Unlock()
-		if time.Since(started) < c.Contact/4 {
+		if time.Since(started) < c.Contact/4 || time.Since(mended) < c.Contact/16 {
 			continue
 		}
 		// A ballot that somebody began must come to an end: until then no
 		// majority can say that this view is the newest.
 		begun := c.Voter.Accepted(view.Number + 1)
 		if quiet || begun || head && (len(view.Members) < len(view.Voters) || len(c.outside(view)) > 0) {
+			mended = time.Now()
 			c.mend(ctx, view)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,7 +90,7 @@
 	}
 	c.db = db
 	db.MaxBatchDelay = batchDelay
-	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 4)}
+	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 32)}
 	c.chain = &chain.Chain{
 		Self: chain.Member{Address: c.self}, Losses: int(set.FaultTolerance.HostFailures), Pool: c.pool, Contact: c.contact, Log: logger,
 		Voter: c.voter, Committed: c.committed, Others: c.others, Ready: c.isLoaded,
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -107,9 +107,9 @@
 
 // steward places the partitions while this core holds the duty.
 func (c *Core) steward(ctx context.Context) {
-	tick := time.NewTicker(c.contact / 16)
+	tick := time.NewTicker(c.contact / 32)
 	defer tick.Stop()
-	var settled time.Time
+	var settled, looked time.Time
 	count, since := 0, time.Now()
 	wasHeld := false
 	for {
@@ -138,12 +138,16 @@
 				c.log.Printf("steward: this core holds the duty, term %d", term)
 			}
 		}
-		// A new steward first hears everyone out.
-		if !held || time.Since(settled) < c.contact/8 {
+		if !held || !nudged && time.Since(looked) < c.contact/20 {
 			continue
 		}
+		looked = time.Now()
 		stores := c.watch(ctx)
 		cur := c.Placement()
+		// A new steward first hears everyone out.
+		if time.Since(settled) < c.contact/8 && !heardAll(cur, stores) {
+			continue
+		}
 		var next Placement
 		var handovers []int
 		changed := false
@@ -179,6 +183,16 @@
 	}
 }
 
+// heardAll tells whether every store of a placement was heard of lately.
+func heardAll(p Placement, stores map[string]StoreStatus) bool {
+	for name := range p.Stores {
+		if _, ok := stores[name]; !ok {
+			return false
+		}
+	}
+	return len(p.Stores) > 0
+}
+
 // missed reports the stores that this core watches and that fell silent to
 // whichever core is the steward.
 func (c *Core) missed(ctx context.Context) {
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -88,11 +88,25 @@
 			go g.ask(context.WithoutCancel(ctx), []string{t.Name})
 		}
 		g.mu.Unlock()
+		soon := time.NewTimer(g.node.Settings.Contact() / 40)
 		select {
 		case <-asking:
+		case <-soon.C: // the meter is out of reach, it seems
+			g.mu.Lock()
+			ok := g.alone(x, t, time.Now())
+			g.mu.Unlock()
+			if ok {
+				return 0
+			}
+			select {
+			case <-asking:
+			case <-ctx.Done():
+				return quota.Window / 2
+			}
 		case <-ctx.Done():
 			return quota.Window / 2
 		}
+		soon.Stop()
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -191,7 +191,7 @@
 // Suspect tells the cores that a node cannot be reached.
 func (n *Node) Suspect(name string, refused bool) {
 	n.mu.Lock()
-	recent := time.Since(n.told[name]) < n.Settings.Contact()/40
+	recent := time.Since(n.told[name]) < n.Settings.Contact()/20
 	if !recent {
 		n.told[name] = time.Now()
 	}
@@ -199,6 +199,7 @@
 	if recent || n.life.Err() != nil {
 		return
 	}
+	n.follower.Doubt()
 	for _, c := range n.Cores() {
 		n.reports.Go(func() {
 			ctx, cancel := context.WithTimeout(n.life, n.Settings.Contact()/8)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,9 +82,24 @@
 	Contact time.Duration
 	Log     *log.Logger
 
-	mu    sync.Mutex
-	nodes map[string]Node
-	heard time.Time
+	mu     sync.Mutex
+	nodes  map[string]Node
+	heard  time.Time
+	lost   bool // no parent answers
+	asking context.CancelFunc
+	parent string // the one asked now
+	doubts string // the parent that is not to be asked next
+}
+
+// Doubt tells that the news may be late: somebody waits for what they should
+// have told. Another parent is asked at once.
+func (f *Follower) Doubt() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asking != nil {
+		f.doubts = f.parent
+		f.asking()
+	}
 }
 
 // Seeds replaces the addresses of last resort.
@@ -101,7 +116,7 @@
 func (f *Follower) Fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.heard.IsZero() && time.Since(f.heard) < f.Contact*5/8
+	return !f.lost && !f.heard.IsZero() && time.Since(f.heard) < f.Contact*5/8
 }
 
 // Parents orders the addresses to ask: the parent in the tree of the zone,
@@ -185,30 +200,41 @@
 			}
 		}
 		if target == "" {
+			f.mu.Lock()
+			f.lost = true
+			f.mu.Unlock()
 			clear(bad)
 			pause(ctx, f.Contact/80+rand.N(f.Contact/80))
 			continue
 		}
-		if target != current {
-			current = target
-			f.Log.Printf("relay: following %s", target)
-		}
 		cctx, cancel := context.WithTimeout(ctx, wait+f.Contact/8)
 		page := journal.Page{}
 		last := at[target]
+		f.mu.Lock()
+		f.asking, f.parent, f.doubts = cancel, target, ""
+		f.mu.Unlock()
 		err := f.Pool.Post(cctx, target, "/news", Poll{last.Source, last.Number, wait.Milliseconds()}, nil, &page)
 		cancel()
+		f.mu.Lock()
+		f.asking = nil
+		doubted := f.doubts == target
+		f.mu.Unlock()
 		if err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !doubted && target == current {
 				f.Log.Printf("relay: parent lost: %v", err)
+				current = ""
 			}
 			bad[target] = time.Now()
 			continue
 		}
+		if target != current {
+			current = target
+			f.Log.Printf("relay: following %s", target)
+		}
 		f.Journal.Load(page)
 		at = map[string]journal.Page{target: {Source: page.Source, Number: page.Number}}
 		f.mu.Lock()
-		f.heard = time.Now()
+		f.heard, f.lost = time.Now(), false
 		f.mu.Unlock()
 	}
 }
