A handover waits for each backup that may be in step by now

A primary that was asked to stop a partition right after its backup came into step had not heard so yet; it looked only at backups marked in step, found none, and gave the partition up with outcomes unsent, so the successor ran messages again. Now every backup that answered in this epoch counts, and the steward relies on a stop only half as long as the primary keeps it. Ruled out: leases (the successor waited) and answers that were lost.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,7 +57,7 @@
 	placement Placement
 	dead      map[string]time.Time // nodes found dead, and when
 	loaded    bool                 // a majority of the voters told its registry
-	ready     map[int]int64        // partitions whose primary stopped, by epoch
+	ready     map[int]stopped      // partitions whose primary stopped
 	handing   map[string]bool      // stores asked to stop partitions
 	sentAt    map[string]time.Time
 	sent      map[string]map[string]journal.Version
@@ -74,7 +74,7 @@
 func New(set *settings.Settings, network wire.Network, logger *log.Logger) (*Core, error) {
 	c := &Core{
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
-		dead: map[string]time.Time{}, ready: map[int]int64{},
+		dead: map[string]time.Time{}, ready: map[int]stopped{},
 		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{}, kept: map[string]int64{},
 		wake: make(chan struct{}, 1), probing: map[string]bool{},
 	}
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -167,8 +167,14 @@
 			next, changed = Found(stores, c.spreadOf()), true
 		} else {
 			c.mu.Lock()
-			next, handovers, changed = Plan(cur, stores, c.ready, c.spreadOf())
+			ready := map[int]int64{}
+			for i, x := range c.ready {
+				if time.Since(x.at) < c.contact/8 { // soon after, the primary goes on
+					ready[i] = x.epoch
+				}
+			}
 			c.mu.Unlock()
+			next, handovers, changed = Plan(cur, stores, ready, c.spreadOf())
 		}
 		if changed {
 			next.Term = term
@@ -239,6 +245,12 @@
 	return out
 }
 
+// stopped is a partition whose primary has stopped for its successor.
+type stopped struct {
+	epoch int64
+	at    time.Time
+}
+
 // Handover asks a primary to stop partitions, so that their backups may lead.
 type Handover struct {
 	Partitions map[int]int64 `json:"partitions"` // by epoch
@@ -271,7 +283,7 @@
 			c.mu.Lock()
 			delete(c.handing, store)
 			for i, epoch := range out.Partitions {
-				c.ready[i] = epoch
+				c.ready[i] = stopped{epoch, time.Now()}
 			}
 			c.mu.Unlock()
 			if err != nil {
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -512,16 +512,17 @@
 		case <-time.After(step):
 		}
 	}
-	s.thaw(out, s.Contact/8)
+	s.thaw(out, s.Contact/4) // longer than the steward relies on it
 	s.thaw(want, 0)
 	return out
 }
 
 // given tells whether all backups that may succeed hold everything and took
-// the lease back.
+// the lease back. One that answered may be in step by now, though the news of
+// it are still on their way here.
 func (p *part) given() bool {
 	for _, r := range p.replicas {
-		if r.inStep && (len(r.dirty) > 0 || !r.released) {
+		if r.mayLead() && (len(r.dirty) > 0 || !r.released) {
 			return false
 		}
 	}
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -146,3 +146,37 @@
 		t.Errorf("moved aside: %v", left)
 	}
 }
+
+func TestAHandoverWaitsForABackupThatMayBeInStepByNow(t *testing.T) {
+	s := open(t)
+	s.Place(core.Placement{Version: 2, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
+		Partitions: []core.Partition{{Epoch: 6, Primary: "me", Backups: []core.Backup{{Store: "other"}}}}})
+	idle := func(int) bool { return true }
+	for _, c := range []struct {
+		paired, released bool
+		outcomes, given  int
+	}{{true, true, 1, 0}, {true, false, 0, 0}, {true, true, 0, 1}, {false, false, 1, 1}} {
+		s.mu.Lock()
+		p := s.parts[0]
+		r := p.replicas[0]
+		r.paired, r.released, r.dirty = c.paired, c.released, map[string]*Record{}
+		p.frozen, p.closed = true, true
+		for range c.outcomes {
+			r.dirty["x"] = &Record{ID: "x", State: Complete}
+		}
+		given := p.given()
+		p.frozen, p.closed = false, false
+		s.mu.Unlock()
+		if given != (c.given == 1) {
+			t.Errorf("%+v: given %v", c, given)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	s.mu.Lock()
+	s.parts[0].replicas[0].paired = true
+	s.mu.Unlock()
+	if out := s.Freeze(ctx, map[int]int64{0: 6}, idle); len(out) != 0 {
+		t.Errorf("handed over without an answer: %v", out)
+	}
+}
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -94,6 +94,9 @@
 	reported    time.Time
 }
 
+// mayLead tells whether the backup may succeed, as far as can be known here.
+func (r *replica) mayLead() bool { return r.inStep || r.paired }
+
 func (p *part) replica(store string) *replica {
 	for _, r := range p.replicas {
 		if r.store == store {
@@ -450,7 +453,7 @@
 	}
 	// Each backup that may succeed must have let this store deliver.
 	for _, r := range p.replicas {
-		if (r.inStep || r.paired) && !now.Before(r.lease) {
+		if r.mayLead() && !now.Before(r.lease) {
 			return false
 		}
 	}
