One placement write for all reports of copies in step; an added store takes only its share

Reports now go to the steward, who puts all of them into its next placement. And a placement by turns moved nearly every partition when a store was added: homes are kept in the placement now, and only a share moves.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	dead      map[string]time.Time // nodes found dead, and when
 	loaded    bool                 // a majority of the voters told its registry
 	ready     map[int]stopped      // partitions whose primary stopped
+	inStep    map[Copy]bool        // reports for the next placement
 	handing   map[string]bool      // stores asked to stop partitions
 	sentAt    map[string]time.Time
 	sent      map[string]map[string]journal.Version
@@ -74,7 +75,7 @@
 func New(set *settings.Settings, network wire.Network, logger *log.Logger) (*Core, error) {
 	c := &Core{
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
-		dead: map[string]time.Time{}, ready: map[int]stopped{},
+		dead: map[string]time.Time{}, ready: map[int]stopped{}, inStep: map[Copy]bool{},
 		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{}, kept: map[string]int64{},
 		wake: make(chan struct{}, 1), probing: map[string]bool{},
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 
 	"saltreel/internal/relay"
 )
@@ -11,7 +13,8 @@
 // Placement says which stores hold each partition.
 type Placement struct {
 	Version    int64            `json:"version"`
-	Term       int64            `json:"term"` // of the steward that wrote it
+	Term       int64            `json:"term"`     // of the steward that wrote it
+	Founders   int              `json:"founders"` // how many stores it began with
 	Partitions []Partition      `json:"partitions"`
 	Stores     map[string]Store `json:"stores"`
 }
@@ -20,6 +23,7 @@
 // new epoch; copies refuse what comes under an older one.
 type Partition struct {
 	Epoch   int64    `json:"epoch"`
+	Home    string   `json:"home"` // the store that leads it when all is well
 	Primary string   `json:"primary"`
 	Backups []Backup `json:"backups,omitempty"`
 }
@@ -111,17 +115,70 @@
 		p.Stores[name] = Store{Address: s.Address, Zone: s.Zone, Region: s.Region, Disk: s.Disk}
 	}
 	order := p.order()
+	p.Founders = len(order)
 	for i := range partitionsPerStore * len(order) {
+		p.Partitions = append(p.Partitions, Partition{Epoch: 1, Home: order[i%len(order)]})
+		x := &p.Partitions[i]
 		want := p.ideal(order, i, spread)
-		x := Partition{Epoch: 1, Primary: want[0]}
+		x.Primary = want[0]
 		for _, b := range want[1:] {
 			x.Backups = append(x.Backups, Backup{b, true})
 		}
-		p.Partitions = append(p.Partitions, x)
 	}
 	return p
 }
 
+// settleHomes gives the homes of stores that were retired to others, and a
+// store that was added its share; all others stay where they are.
+func (p *Placement) settleHomes(order []string) (changed bool) {
+	load := map[string]int{}
+	for _, x := range p.Partitions {
+		load[x.Home]++
+	}
+	far := func(a, b string) int {
+		switch x, y := p.Stores[a], p.Stores[b]; {
+		case x.Zone == y.Zone:
+			return 0
+		case x.Region == y.Region:
+			return 1
+		}
+		return 2
+	}
+	move := func(i int, to string) {
+		load[p.Partitions[i].Home]--
+		load[to]++
+		p.Partitions[i].Home = to
+		changed = true
+	}
+	if len(order) == 0 {
+		return false
+	}
+	for i, x := range p.Partitions {
+		if slices.Contains(order, x.Home) {
+			continue
+		}
+		move(i, slices.MinFunc(order, func(a, b string) int {
+			return cmp.Or(load[a]-load[b], far(x.Home, a)-far(x.Home, b), strings.Compare(a, b))
+		}))
+	}
+	share := len(p.Partitions) / len(order)
+	for _, name := range order {
+		for load[name] < share {
+			at := -1
+			for i, x := range p.Partitions {
+				if load[x.Home] > share && (at < 0 || cmp.Or(load[p.Partitions[at].Home]-load[x.Home], far(name, x.Home)-far(name, p.Partitions[at].Home)) < 0) {
+					at = i
+				}
+			}
+			if at < 0 {
+				break
+			}
+			move(at, name)
+		}
+	}
+	return changed
+}
+
 // ideal is where partition i belongs, the primary first. Primaries go round;
 // the backups lie as near as what may be lost at once allows, since bytes
 // between zones and regions are dear.
@@ -159,11 +216,11 @@
 // near lists all stores for partition i: its primary, then the others by how
 // far they are from it, those equally far in an order that goes round.
 func (p Placement) near(order []string, i int) []string {
-	n := len(order)
-	if n == 0 {
+	at := max(0, slices.Index(order, p.Partitions[i].Home))
+	if len(order) == 0 {
 		return nil
 	}
-	out := []string{order[i%n]}
+	out := []string{order[at]}
 	home := p.Stores[out[0]]
 	turn := func(list []string, by int) []string {
 		if len(list) == 0 {
@@ -188,7 +245,7 @@
 			others[s.Region] = append(others[s.Region], name)
 		}
 	}
-	k := i%n*partitionsPerStore + i/n
+	k := at*partitionsPerStore + i/max(1, p.Founders)
 	out = append(append(out, turn(zone, k)...), turn(region, k)...)
 	for _, r := range turn(regions, k) {
 		out = append(out, turn(others[r], k/max(1, len(regions)))...)
@@ -222,6 +279,7 @@
 		return up(name) && !stores[name].Leaving && next.Stores[name].Retire == ""
 	}
 	order := next.order()
+	changed = next.settleHomes(order) || changed
 	// wanted is where a partition is to lie as things are, the primary first.
 	wanted := func(i int) []string {
 		if len(order) == 0 {
@@ -255,7 +313,7 @@
 			}
 		}
 		if primary != p.Primary || !slices.Equal(alive, p.Backups) {
-			*p = Partition{Epoch: p.Epoch + 1, Primary: primary, Backups: alive}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: primary, Backups: alive}
 			changed = true
 		}
 		mended = mended && p.InStep(spread.Backups)
@@ -278,7 +336,7 @@
 		}
 		if heir != "" { // the primary stops first
 			if ready[i] == p.Epoch {
-				*p = Partition{Epoch: p.Epoch + 1, Primary: heir, Backups: append(p.without(heir), Backup{p.Primary, true})}
+				*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: heir, Backups: append(p.without(heir), Backup{p.Primary, true})}
 				changed = true
 			} else {
 				handovers = append(handovers, i)
@@ -296,13 +354,13 @@
 			}
 		}
 		if len(missing) > 0 {
-			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backups: append(slices.Clone(p.Backups), missing...)}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: p.Primary, Backups: append(slices.Clone(p.Backups), missing...)}
 			changed = true
 			continue
 		}
 		keep := slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return !slices.Contains(want, b.Store) })
 		if len(keep) < len(p.Backups) && len(keep) >= min(spread.Backups, len(want)-1) && slices.Contains(want, p.Primary) {
-			*p = Partition{Epoch: p.Epoch + 1, Primary: p.Primary, Backups: keep}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: p.Primary, Backups: keep}
 			changed = true
 		}
 	}
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -223,8 +223,16 @@
 			}
 		}
 		s["s99"] = StoreStatus{Node: relay.Node{Name: "s99", Zone: "z0", Region: "r0", Disk: "d"}, Up: true}
-		if q = settle(t, q, s, c.spread, nil); !holds(q, "s99") {
-			t.Errorf("%+v: an added store gets nothing", c.spread)
+		before := q
+		moved := 0
+		q = settle(t, q, s, c.spread, nil)
+		for i, x := range q.Partitions {
+			if x.Primary != before.Partitions[i].Primary {
+				moved++
+			}
+		}
+		if !holds(q, "s99") || moved != partitionsPerStore-1 {
+			t.Errorf("%+v: of an added store's share of %d, %d were moved", c.spread, partitionsPerStore-1, moved)
 		}
 	}
 }
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -68,35 +68,42 @@
 	Store     string `json:"store"`
 }
 
-func (c *Core) handleInStep(ctx context.Context, in *InStep, _ []byte) (*struct{}, error) {
-	if !c.chain.Steady() {
-		return nil, &wire.Status{Code: 503, Text: "this core is not in touch with the others"}
+// handleInStep notes the reports for the next placement, all at once: a write
+// down the chain for each would keep the cores busy.
+func (c *Core) handleInStep(_ context.Context, in *InStep, _ []byte) (*struct{}, error) {
+	if _, held := c.duty.Held(); !held {
+		return nil, &wire.Status{Code: 421, Text: "this core is not the steward"}
 	}
-	for range 3 {
-		cur := c.Placement()
-		next := cur.Clone()
-		changed := false
-		for _, x := range in.Copies {
-			if x.Partition >= len(next.Partitions) || next.Partitions[x.Partition].Epoch < x.Epoch {
-				return nil, &wire.Status{Code: 503, Text: "the placement here is older"}
-			}
-			p := next.Partitions[x.Partition]
-			if at := p.Backup(x.Store); p.Epoch == x.Epoch && at >= 0 && !p.Backups[at].InStep {
-				p.Backups[at].InStep = true
-				changed = true
-			}
+	c.mu.Lock()
+	for _, x := range in.Copies {
+		c.inStep[x] = true
+	}
+	c.mu.Unlock()
+	c.nudge()
+	return &struct{}{}, nil
+}
+
+// stepped marks the copies that were reported as in step.
+func (c *Core) stepped(p *Placement) (changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for x := range c.inStep {
+		if x.Partition >= len(p.Partitions) || p.Partitions[x.Partition].Epoch > x.Epoch {
+			delete(c.inStep, x)
+			continue
 		}
-		if !changed {
-			return &struct{}{}, nil
+		at := p.Partitions[x.Partition].Backup(x.Store)
+		if p.Partitions[x.Partition].Epoch < x.Epoch || at < 0 {
+			continue
 		}
-		next.Version++
-		err := c.Propose(ctx, Proposal{Placement: &next})
-		if wire.StatusOf(err) != 409 {
-			return &struct{}{}, err
+		if p.Partitions[x.Partition].Backups[at].InStep {
+			delete(c.inStep, x)
+			continue
 		}
-		sleep(ctx, c.contact/80)
+		p.Partitions[x.Partition].Backups[at].InStep = true
+		changed = true
 	}
-	return nil, &wire.Status{Code: 503, Text: "the placement changes too often"}
+	return changed
 }
 
 // spread is how far the copies of a message must lie apart.
@@ -174,7 +181,13 @@
 				}
 			}
 			c.mu.Unlock()
-			next, handovers, changed = Plan(cur, stores, ready, c.spreadOf())
+			known := cur.Clone()
+			stepped := c.stepped(&known)
+			next, handovers, changed = Plan(known, stores, ready, c.spreadOf())
+			if stepped && !changed {
+				next.Version++
+				changed = true
+			}
 		}
 		if changed {
 			next.Term = term
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 
 	mu       sync.Mutex
 	cores    map[string]string // name to address
+	steward  string            // the core that took the last report
 	sequence int64
 	leaving  bool
 	told     map[string]time.Time // suspicions reported
@@ -209,14 +210,23 @@
 	}
 }
 
-// Report tells the cores which partitions are in step; one answer is enough.
+// Report tells the steward which copies are in step.
 func (n *Node) Report(ctx context.Context, in core.InStep) error {
+	n.mu.Lock()
+	first := n.steward
+	n.mu.Unlock()
 	var last error
-	for _, c := range n.Cores() {
-		cctx, cancel := context.WithTimeout(ctx, n.Settings.Contact()/8)
+	for _, c := range append([]string{first}, n.Cores()...) {
+		if c == "" {
+			continue
+		}
+		cctx, cancel := context.WithTimeout(ctx, n.Settings.Contact()/16)
 		last = n.Pool.Post(cctx, c, "/in-step", in, nil, nil)
 		cancel()
 		if last == nil {
+			n.mu.Lock()
+			n.steward = c
+			n.mu.Unlock()
 			return nil
 		}
 	}
