--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -39,6 +39,8 @@
 	tasks   sync.WaitGroup
 	version int
 	seq     int
+	losses  int      // host-failures
+	seeds   []string // addresses of cores
 }
 
 type machine struct {
@@ -52,9 +54,17 @@
 var zones = []string{"z1", "z2", "z3"}
 
 func run(t *testing.T, f func(w *world)) {
+	t.Helper()
+	runWide(t, 1, 1, f)
+}
+
+// runWide runs a cluster that bears a number of losses, with several cores and
+// stores in each zone.
+func runWide(t *testing.T, losses, each int, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, net: newNetwork(), nodes: map[string]*machine{}, dir: t.TempDir()}
+		w := &world{t: t, net: newNetwork(), nodes: map[string]*machine{}, dir: t.TempDir(), losses: losses,
+			seeds: []string{"10.1.0.1", "10.2.0.1", "10.3.0.1"}}
 		w.outside = &process{net: w.net, ip: "10.9.0.1"}
 		w.pool = &wire.Pool{Network: w.outside.network()}
 		for i, z := range zones {
@@ -62,6 +72,9 @@
 				name := role + "-" + z
 				w.nodes[name] = &machine{name: name, role: role, zone: z, ip: fmt.Sprintf("10.%d.0.%d", i+1, j+1), data: filepath.Join(w.dir, name)}
 				w.start(name, true)
+				for k := 1; k < each && role != "edge"; k++ {
+					w.add(fmt.Sprintf("%s%d", name, k), role, z, fmt.Sprintf("10.%d.0.%d", i+1, 10*k+j+1), true)
+				}
 			}
 		}
 		defer func() {
@@ -78,6 +91,21 @@
 	})
 }
 
+// add starts one more machine, with an empty disk.
+func (w *world) add(name, role, zone, ip string, bootstrap bool) {
+	w.t.Helper()
+	w.nodes[name] = &machine{name: name, role: role, zone: zone, ip: ip, data: filepath.Join(w.dir, name)}
+	w.start(name, bootstrap)
+}
+
+// wipe empties the disk of a machine that was killed.
+func (w *world) wipe(name string) {
+	w.t.Helper()
+	if err := os.RemoveAll(w.nodes[name].data); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func (w *world) settings(m *machine, bootstrap bool) *settings.Settings {
 	w.t.Helper()
 	text := fmt.Sprintf(`node-name=%s
@@ -92,12 +120,12 @@
 listeners.readiness=%[3]s:81
 listeners.control-plane=%[3]s:82
 internal-port-range=7100,7115
-seed-peers=10.1.0.1:82,10.2.0.1:82,10.3.0.1:82
+seed-peers=%[8]s
 bootstrap=%[6]v
 data-path=%[7]s
 limits.cpu-share=1
 keepalive-ms=1200
-fault-tolerance.host-failures=1
+fault-tolerance.host-failures=%[9]d
 timers.contact-ms=4000
 timers.config-apply-ms=3000
 timers.drain-ms=3000
@@ -106,7 +134,7 @@
 timers.origin-overshoot=1.1
 timers.quota-allowance=20
 some.field.from.later=1
-`, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.data)
+`, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.data, strings.Join(w.controls(), ","), w.losses)
 	s, err := settings.Parse(text)
 	if err != nil {
 		w.t.Fatal(err)
@@ -193,7 +221,12 @@
 	}
 }
 
-func (w *world) controls() []string { return []string{"10.1.0.1:82", "10.2.0.1:82", "10.3.0.1:82"} }
+func (w *world) controls() (out []string) {
+	for _, ip := range w.seeds {
+		out = append(out, ip+":82")
+	}
+	return out
+}
 
 func (w *world) operator() *operator.Caller {
 	return &operator.Caller{Pool: w.pool, Controls: w.controls(), Timeout: time.Second}
--- /dev/null
+++ b/internal/cluster/control_test.go
@@ -0,0 +1,273 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"saltreel/internal/wire"
+)
+
+// put sends the next configuration to one core and tells its answer.
+func (w *world) put(control string, match int, raw []byte) int {
+	a, err := w.do(control, &wire.Call{Method: "PUT", Target: "/v1/configuration", Host: control,
+		Header: []string{"If-Match", fmt.Sprint(match)}, Body: raw}, time.Second)
+	if err != nil {
+		return 0
+	}
+	return a.Status
+}
+
+// change puts a configuration in force, whichever core takes it.
+func (w *world) change(what string, o options) []byte {
+	w.t.Helper()
+	w.version++
+	raw := w.configuration(w.version, o)
+	w.until(8*time.Second, "a revision "+what, func() bool {
+		return w.operator().PutConfiguration(context.Background(), raw, int64(w.version-1)) == nil
+	})
+	return raw
+}
+
+func (w *world) readBack(what string, want []byte) {
+	w.t.Helper()
+	w.until(8*time.Second, "reading back "+what, func() bool {
+		raw, err := w.operator().Get(context.Background(), "/v1/configuration")
+		if err == nil && !bytes.Equal(raw, want) {
+			w.t.Fatalf("%s: another configuration is read back", what)
+		}
+		return err == nil
+	})
+}
+
+// cores are the cores in the view and the voters, as the tail tells them.
+func (w *world) cores() (members, voters int) {
+	s, err := w.status()
+	if err != nil {
+		return 0, 0
+	}
+	return len(s.View.Members), len(s.View.Voters)
+}
+
+func TestALeavingOutlivesAllCores(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		run(t, func(w *world) {
+			plain := w.service("plain", "z1", "z2")
+			w.configure(options{})
+			leaver := plain.by["plain-i0"]
+			plain.mu.Lock()
+			leaver.state = "draining"
+			plain.mu.Unlock()
+			if gone {
+				leaver.stop() // it beats no more
+				if code := plain.call("DELETE", leaver.id, ""); code != 200 {
+					t.Fatalf("DELETE: %d", code)
+				}
+			} else if !plain.beat(leaver) {
+				t.Fatal("the draining is not acknowledged")
+			}
+			acked := time.Now()
+			for _, z := range zones {
+				w.kill("core-" + z)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, z := range zones {
+				w.start("core-"+z, false)
+			}
+			// A beat from before the leaving comes late, to each of the cores.
+			w.until(5*time.Second, "beats are taken again", func() bool {
+				return plain.call("PUT", leaver.id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"z1","slots":2,"oper-state":"ready","call-seq":1}`, leaver.addr)) == 200
+			})
+			if code := plain.call("DELETE", "nobody-knows", ""); code != 200 {
+				t.Errorf("DELETE of an unknown instance: %d", code)
+			}
+			plain.call("PUT", "nobody-knows", `{"service":"plain","address":"10.20.99.1:90","zone":"z1","slots":2,"oper-state":"ready","call-seq":7}`)
+			time.Sleep(time.Until(acked.Add(3 * time.Second)))
+			w.during(plain, func() { time.Sleep(3 * time.Second) })
+			for _, d := range plain.all() {
+				if d.instance == leaver.id && d.at.Sub(acked) > 3*time.Second {
+					t.Fatalf("gone %v: delivered to the leaver %v after the acknowledgement", gone, d.at.Sub(acked))
+				}
+			}
+			s, err := w.status()
+			for _, h := range s.Handlers {
+				if h.ID == "nobody-knows" || h.ID == leaver.id && h.State == "ready" {
+					t.Errorf("%s is back: %+v, %v", h.ID, h, err)
+				}
+			}
+		})
+	}
+}
+
+func TestCoresAreReplacedUntilNoFounderIsLeft(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1")
+		w.configure(options{})
+		for round, z := range zones {
+			w.kill("core-" + z)
+			time.Sleep(1500 * time.Millisecond)
+			ip := fmt.Sprintf("10.%d.0.9", round+1)
+			w.add("core-new-"+z, "core", z, ip, false)
+			w.seeds[round] = ip
+			w.until(8*time.Second, "the new core votes in place of core-"+z, func() bool {
+				m, v := w.cores()
+				return m == 3 && v == 3
+			})
+			w.readBack("after core-"+z, w.change("without core-"+z, options{attempts: round + 2}))
+		}
+		// The next loss is borne again, and a disk lost at the same address too.
+		w.kill("core-new-z1")
+		want := w.change("after another loss", options{attempts: 7})
+		w.wipe("core-new-z1")
+		w.start("core-new-z1", false)
+		w.until(8*time.Second, "the wiped core votes again", func() bool {
+			m, v := w.cores()
+			return m == 3 && v == 3
+		})
+		w.kill("core-new-z2")
+		w.readBack("after a wipe and a loss", want)
+		w.start("core-new-z2", false)
+		w.during(plain, func() { time.Sleep(2 * time.Second) })
+	})
+}
+
+func TestAnEmptyDiskLeadsNothingAfterALossOfPower(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z2")
+		w.configure(options{})
+		want := w.change("before the loss", options{attempts: 5})
+		for name, m := range w.nodes {
+			if m.role == "core" || m.role == "store" {
+				w.kill(name)
+			}
+		}
+		s := "core-z1" // the founders are in order of their addresses: the head
+		w.wipe(s)
+		w.wipe("store-z3")
+		w.start(s, false) // it comes back first, and alone
+		w.start("store-z3", false)
+		time.Sleep(1500 * time.Millisecond)
+		if code := w.put("10.1.0.1:82", 0, w.configuration(1, options{})); code == 200 || code == 412 {
+			t.Errorf("the empty core answers the operator with %d", code)
+		}
+		began := time.Now()
+		for _, name := range []string{"core-z2", "core-z3", "store-z1", "store-z2"} {
+			w.start(name, false)
+		}
+		w.readBack("after the loss", want)
+		w.until(10*time.Second, "messages are taken again", func() bool { return w.send("z1", "/plain/", w.id()).Status == 202 })
+		if took := time.Since(began); took > 4*time.Second {
+			t.Errorf("serving after %v", took)
+		}
+		w.during(plain, func() { time.Sleep(2 * time.Second) })
+	})
+}
+
+func TestOfTwoSidesAtMostOneAcknowledges(t *testing.T) {
+	ips := []string{"10.1.0.1", "10.2.0.1", "10.3.0.1"}
+	for lone := range 3 {
+		for _, way := range []string{"both ways", "out", "in"} {
+			run(t, func(w *world) {
+				w.configure(options{})
+				base := w.version
+				rest := append(append([]string{}, ips[:lone]...), ips[lone+1:]...)
+				sever := func(yes bool) {
+					if way != "in" {
+						w.net.sever(ips[lone:lone+1], rest, yes)
+					}
+					if way != "out" {
+						w.net.sever(rest, ips[lone:lone+1], yes)
+					}
+				}
+				sever(true)
+				a, b := w.configuration(base+1, options{attempts: 2}), w.configuration(base+2, options{attempts: 4})
+				gotA, gotB := 0, 0
+				for end := time.Now().Add(7 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+					if gotA != 200 {
+						gotA = w.put(ips[lone]+":82", base, a)
+					}
+					if gotB != 200 {
+						gotB = w.put(rest[0]+":82", base, b)
+					}
+				}
+				sever(false)
+				if gotA == 200 && gotB == 200 {
+					t.Fatalf("core %d cut %s: both changes are acknowledged", lone, way)
+				}
+				time.Sleep(5 * time.Second)
+				if gotA != 200 && gotB != 200 { // the lone one was heard but could not hear: its change won
+					if gotA = w.put(rest[0]+":82", base, a); gotA != 200 || gotB != 412 {
+						t.Errorf("core %d cut %s: neither side takes a change: %d %d", lone, way, gotA, gotB)
+					}
+				}
+				for _, c := range w.controls() { // all tell the same history
+					w.until(5*time.Second, "reading from "+c, func() bool {
+						r, err := w.do(c, &wire.Call{Method: "GET", Target: "/v1/configuration", Host: c}, time.Second)
+						if err == nil && r.Status == 200 && (gotA == 200 && !bytes.Equal(r.Body, a) || gotB == 200 && !bytes.Equal(r.Body, b)) {
+							t.Fatalf("core %d cut %s: %s tells another configuration", lone, way, c)
+						}
+						return err == nil && r.Status == 200
+					})
+				}
+				// What was taken is acknowledged again, even after the next change.
+				won, winner := a, base+1
+				if gotB == 200 {
+					won, winner = b, base+2
+				}
+				w.version = winner
+				w.change("after the cut", options{})
+				if code := w.put(ips[0]+":82", base, won); code != 200 {
+					t.Errorf("a change taken earlier, sent again: %d", code)
+				}
+			})
+		}
+	}
+}
+
+func TestTwoLossesAreBorneAtOnce(t *testing.T) {
+	runWide(t, 2, 2, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		w.until(10*time.Second, "all cores vote", func() bool { m, v := w.cores(); return m == 6 && v == 6 })
+		names := map[string]string{}
+		for i := range 60 {
+			id := fmt.Sprintf("k%d", i)
+			names[id] = w.accept(zones[i%3], "/plain/", id, "Saltreel-Delay-Ms", "20000")
+		}
+		var want []byte
+		w.during(plain, func() {
+			for _, pair := range [][2]string{{"z1", "z11"}, {"z2", "z31"}} {
+				for _, z := range pair {
+					w.kill("store-" + z)
+					w.wipe("store-" + z)
+					w.kill("core-" + z)
+				}
+				time.Sleep(2 * time.Second)
+				want = w.change("without "+strings.Join(pair[:], " and "), options{attempts: 4})
+				for _, z := range pair {
+					w.start("store-"+z, false)
+					w.wipe("core-" + z)
+					w.start("core-"+z, false)
+				}
+				w.until(10*time.Second, "all copies are in step and all cores vote", func() bool {
+					s, err := w.status()
+					ok := err == nil && len(s.View.Members) == 6 && len(s.View.Voters) == 6
+					for _, p := range s.Placement.Partitions {
+						ok = ok && p.InStep(2)
+					}
+					return ok
+				})
+			}
+		})
+		w.readBack("after two losses, twice", want)
+		for id, name := range names {
+			w.ended(name, "complete seal-"+id, 30*time.Second)
+			if n := plain.count(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	})
+}
--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -18,12 +18,13 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
-	dark      map[string]bool // by IP: packets to and from it are lost
+	dark      map[string]bool    // by IP: packets to and from it are lost
+	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, dark: map[string]bool{}, delay: time.Millisecond}
+	return &network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, dark: map[string]bool{}, severed: map[[2]string]bool{}, delay: time.Millisecond}
 }
 
 // process is one life of a process on the network.
@@ -94,7 +95,7 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[addr]
-	silent := n.dark[ip] || n.dark[p.ip]
+	silent := n.loses(p.ip, ip) || n.loses(ip, p.ip)
 	if p.dead || l == nil || silent {
 		n.mu.Unlock()
 		if p.dead || silent {
@@ -149,6 +150,22 @@
 	n.dark[ip] = dark
 }
 
+// sever loses what goes from any of some machines to any of others, or mends it.
+func (n *network) sever(from, to []string, yes bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			n.severed[[2]string{a, b}] = yes
+		}
+	}
+}
+
+// loses tells whether packets from one machine to another are lost. The lock is held.
+func (n *network) loses(from, to string) bool {
+	return n.dark[from] || n.dark[to] || n.severed[[2]string{from, to}]
+}
+
 type conn struct {
 	in, out     *pipe
 	owner, peer *process
@@ -159,7 +176,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	n := c.owner.net
 	n.mu.Lock()
-	lost := n.dark[c.owner.ip] || n.dark[c.peer.ip]
+	lost := n.loses(c.owner.ip, c.peer.ip)
 	n.mu.Unlock()
 	if lost {
 		return len(b), nil
