--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -167,10 +167,11 @@
 
 // handle answers one request of a client.
 func (e *Edge) handle(ctx context.Context, r *wire.Request) *wire.Response {
-	table := e.node.Table()
-	if table == nil || e.node.Placement() == nil {
+	// An edge that just started hears the news within moments.
+	if !e.node.Await(ctx, e.set.Contact()/8) {
 		return later(wire.Problem(503, "no configuration is known here yet"), quota.Window)
 	}
+	table := e.node.Table()
 	e.bound(table)
 	if kind, name, ok := client.ParseQuestion(r); ok {
 		return e.answer(ctx, r, table, kind, name)
@@ -228,7 +229,7 @@
 	if deadline <= 0 {
 		deadline = e.set.Contact() / 2
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Received.Add(deadline*9/10))
+	ctx, cancel := context.WithDeadline(ctx, r.Received.Add(deadline*24/25))
 	defer cancel()
 	record := partition.Record{
 		ID: m.ID, Tenant: m.Tenant, Method: r.Method, Target: r.RequestURI, Host: r.Host,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,27 @@
 // Placement is the newest placement heard; nil before the first.
 func (n *Node) Placement() *core.Placement { return n.place.Load() }
 
+// Await waits until a configuration and a placement are known; it tells whether
+// they are.
+func (n *Node) Await(ctx context.Context, most time.Duration) bool {
+	known := func() bool { return n.Table() != nil && n.Placement() != nil }
+	if known() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	tick := time.NewTicker(n.Settings.Contact() / 400)
+	defer tick.Stop()
+	for !known() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // Moved is closed when the next placement is heard.
 func (n *Node) Moved() <-chan struct{} {
 	n.mu.Lock()
@@ -163,7 +184,12 @@
 	}
 	tick := time.NewTicker(every)
 	defer tick.Stop()
+	told := time.Now()
 	for {
+		if time.Since(told) > 5*n.Settings.Contact() {
+			told = time.Now()
+			n.Log.Printf("traffic: in %v: %s", 5*n.Settings.Contact(), n.Pool.Tally())
+		}
 		n.mu.Lock()
 		n.sequence++
 		self := n.Self
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,9 +93,45 @@
 	Opening time.Duration // how long opening a connection may take; 0: as long as the call
 	Repeat  bool          // calls may be sent twice: try again once when a kept connection breaks
 
-	mu   sync.Mutex
-	idle map[string][]*clientConn
-	open map[string]int
+	mu    sync.Mutex
+	idle  map[string][]*clientConn
+	open  map[string]int
+	tally map[string]*tally
+}
+
+// tally counts the calls of one kind and their bytes, both ways, without headers.
+type tally struct{ calls, bytes int }
+
+func (p *Pool) note(path string, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.tally[path]
+	if t == nil {
+		t = &tally{}
+		if p.tally == nil {
+			p.tally = map[string]*tally{}
+		}
+		p.tally[path] = t
+	}
+	t.calls++
+	t.bytes += bytes
+}
+
+// Tally words what was posted since it was last asked, by kind, and how many
+// connections are open.
+func (p *Pool) Tally() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := 0
+	for _, n := range p.open {
+		open += n
+	}
+	out := fmt.Sprintf("%d connections", open)
+	for _, path := range slices.Sorted(maps.Keys(p.tally)) {
+		out += fmt.Sprintf(", %s %d calls %d bytes", path, p.tally[path].calls, p.tally[path].bytes)
+	}
+	p.tally = nil
+	return out
 }
 
 type clientConn struct {
@@ -336,6 +374,11 @@
 		body = append(append(body, '\n'), raw...)
 	}
 	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Body: body})
+	got := 0
+	if a != nil {
+		got = len(a.Body)
+	}
+	p.note(path, len(body)+got)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
