--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -330,9 +330,9 @@
 	keepalive := settings.Ms(float64(max(c.set.KeepaliveMs, 1)))
 	told := time.Now()
 	for n := int64(1); ; n++ {
-		if time.Since(told) > 5*c.contact {
+		if time.Since(told) > 4*c.contact {
 			told = time.Now()
-			c.log.Printf("traffic: in %v: %s", 5*c.contact, c.pool.Tally())
+			c.log.Printf("traffic: in %v: %s", 4*c.contact, c.pool.Tally())
 		}
 		c.registry.hear(Item{Key: relay.PrefixNode + c.node.Name, Version: journal.Version{Major: c.node.Life, Minor: n}, Value: journal.Encode(c.node)})
 		for _, peer := range c.peers() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -186,9 +186,9 @@
 	defer tick.Stop()
 	told := time.Now()
 	for {
-		if time.Since(told) > 5*n.Settings.Contact() {
+		if time.Since(told) > 4*n.Settings.Contact() {
 			told = time.Now()
-			n.Log.Printf("traffic: in %v: %s", 5*n.Settings.Contact(), n.Pool.Tally())
+			n.Log.Printf("traffic: in %v: %s", 4*n.Settings.Contact(), n.Pool.Tally())
 		}
 		n.mu.Lock()
 		n.sequence++
