--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -197,6 +197,13 @@
 	return DutyReply{true, c.Holder, c.Term}
 }
 
+// Vacant tells whether a duty is free, as far as this voter knows.
+func (v *Voter) Vacant(duty string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Now().After(v.duties[duty].until)
+}
+
 // Duty is one process's part in the rounds for a duty.
 type Duty struct {
 	Name, Self string
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -134,7 +134,7 @@
 		c.missed(ctx)
 		c.duty.Voters = c.chain.Voters()
 		// Not all candidates ask at the same moment for a vacant duty.
-		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && rand.IntN(len(c.duty.Voters)+1) == 0) {
+		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && c.voter.Vacant(c.duty.Name) && rand.IntN(len(c.duty.Voters)+1) == 0) {
 			c.duty.Round(ctx, c.Placement().Term)
 		}
 		term, held := c.duty.Held()
