A meter that comes back with its store has filled in the meantime

The store notes every quarter of a second that its meters run; a partition that it leads under the same epoch in its next life was metered nowhere else, so its bucket fills for the time between.

--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 var (
 	bucketRecords = []byte("records")
 	bucketMeta    = []byte("meta")
+	keyMark       = []byte("mark")
 )
 
 // disk is the file of a store. One writer groups all that waits into one
@@ -27,6 +29,7 @@
 type disk struct {
 	db       *bbolt.DB
 	identity string
+	marked   time.Time // the last mark of an earlier life
 
 	mu      sync.Mutex
 	queue   []change
@@ -92,6 +95,9 @@
 				return err
 			}
 		}
+		if ms, err := strconv.ParseInt(string(m.Get(keyMark)), 10, 64); err == nil {
+			d.marked = time.UnixMilli(ms)
+		}
 		if raw := m.Get([]byte("fence")); raw != nil {
 			if err := json.Unmarshal(raw, &fence); err != nil {
 				return err
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"log"
+	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,6 +45,7 @@
 	parts     []*part
 	loaded    map[int][]*Record // read from disk before the placement is known
 	fence     Fence
+	before    Fence // as the last life left it
 	queue     []Event
 	links     map[string]*link
 	ctx       context.Context // of what the set does on its own
@@ -133,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	s.disk, s.fence = d, fence
+	s.disk, s.fence, s.before = d, fence, maps.Clone(fence)
 	s.events = make(chan struct{}, 1)
 	s.links = map[string]*link{}
 	s.loaded = map[int][]*Record{}
@@ -460,6 +463,23 @@
 	return true
 }
 
+// Mark notes on disk that this store acts just now, for what its next life may
+// take as time in which it did not.
+func (s *Set) Mark() {
+	s.disk.put(change{key: keyMark, value: strconv.AppendInt(nil, s.Now(), 10), meta: true})
+}
+
+// Paused is how long this store did nothing before this life, if it leads a
+// partition now that nobody else has led in between; else 0.
+func (s *Set) Paused(n int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n >= len(s.parts) || s.disk.marked.IsZero() || s.parts[n].primary != s.Self || s.parts[n].epoch != s.before[n] {
+		return 0
+	}
+	return max(0, s.started.Sub(s.disk.marked))
+}
+
 // Find gives the record of a message at its primary.
 func (s *Set) Find(ctx context.Context, n int, id string) (*Record, error) {
 	s.mu.Lock()
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -18,10 +18,15 @@
 	// lie idle at edges. Those of a fast one are used soon.
 	share float64
 	leads func(n int) bool
-	table func() *configuration.Table
+	// paused is how long the last life of this store is over, if the meters of
+	// a partition ran in it and nowhere since; mark notes that they run.
+	paused func(n int) time.Duration
+	mark   func()
+	table  func() *configuration.Table
 
 	mu      sync.Mutex
 	tenants map[string]*meter
+	granted bool // since the last mark
 }
 
 // meter is a token bucket.
@@ -65,7 +70,8 @@
 			out.Given[name] = want
 			continue
 		}
-		x := m.meter(name, now)
+		x := m.meter(tenant, in.Partitions, now)
+		m.granted = true
 		most := math.Max(1, tenant.BurstSize) + max(0, m.share-tenant.RatePerS/10)
 		x.tokens = min(most, x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds()+in.Back[name])
 		x.filled = now
@@ -79,13 +85,15 @@
 	return out, nil
 }
 
-// meter finds a tenant's meter. A new one starts almost without burst: an
-// earlier one, elsewhere, may have spent it.
-func (m *meters) meter(name string, now time.Time) *meter {
-	x := m.tenants[name]
+// meter finds a tenant's meter. A new one starts almost without burst, since
+// an earlier one, elsewhere, may have spent it; but if the earlier one was here
+// and ended with the last life of this store, it has filled in the meantime.
+func (m *meters) meter(t *configuration.Tenant, partitions int, now time.Time) *meter {
+	x := m.tenants[t.Name]
 	if x == nil {
-		x = &meter{tokens: m.share, filled: now}
-		m.tenants[name] = x
+		paused := m.paused(MeterPartition(t.Name, partitions))
+		x = &meter{tokens: min(math.Max(t.BurstSize, m.share), m.share+t.RatePerS*paused.Seconds()), filled: now}
+		m.tenants[t.Name] = x
 	}
 	return x
 }
@@ -108,11 +116,16 @@
 		m.mu.Lock()
 		for _, x := range t.TenantTable {
 			if m.leads(MeterPartition(x.Name, n)) {
-				m.meter(x.Name, time.Now())
+				m.meter(x, n, time.Now())
 			} else {
 				delete(m.tenants, x.Name)
 			}
 		}
+		granted := m.granted
+		m.granted = false
 		m.mu.Unlock()
+		if granted {
+			m.mark()
+		}
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -54,7 +54,7 @@
 		Pool: &wire.Pool{Network: network, Opening: set.Contact() / 16},
 	}
 	s.deliver.Init()
-	s.meters = &meters{share: set.Timers.QuotaAllowance / 2, leads: s.parts.Leads, table: s.node.Table, tenants: map[string]*meter{}}
+	s.meters = &meters{share: set.Timers.QuotaAllowance / 2, leads: s.parts.Leads, paused: s.parts.Paused, mark: s.parts.Mark, table: s.node.Table, tenants: map[string]*meter{}}
 	s.node.Journal.Fold(s.hear)
 	return s, nil
 }
