--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -124,6 +124,7 @@
 	refused   error     // of the last write, if the disk did not take it
 	adoptions int64
 	answered  map[Member]time.Time // when a voter last answered
+	strangers map[Member]bool      // voters whose disk was found to be another, and told of
 }
 
 var (
@@ -136,6 +137,7 @@
 // the first view.
 func (c *Chain) Open(db *bbolt.DB, founders []string) error {
 	c.db, c.docs, c.write, c.answered = db, Documents{}, make(chan struct{}, 1), map[Member]time.Time{}
+	c.strangers = map[Member]bool{}
 	err := db.Update(func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{bucketState, bucketDocs, bucketVotes} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
@@ -605,6 +607,7 @@
 	type answer struct {
 		who Member
 		s   *Standing
+		err error
 	}
 	asked := append(slices.Clone(view.Voters), c.outside(view)...)
 	got := make(chan answer, len(asked))
@@ -614,17 +617,22 @@
 			if err != nil {
 				s = nil
 			}
-			got <- answer{who, s}
+			got <- answer{who, s, err}
 		}()
 	}
 	answers := map[Member]*Standing{}
 	newest := view
 	now := time.Now()
 	for range asked {
-		if a := <-got; a.s != nil {
-			a.who.Since = 0
-			answers[a.who] = a.s
-			c.answered[a.who] = now
+		a := <-got
+		who := Member{Address: a.who.Address, Disk: a.who.Disk}
+		if wire.StatusOf(a.err) == 409 && !c.strangers[who] {
+			c.strangers[who] = true
+			c.Log.Printf("chain: %s is not what it was: %v", who.Address, a.err)
+		}
+		if a.s != nil {
+			answers[who] = a.s
+			c.answered[who] = now
 			if a.s.View.Number > newest.Number {
 				newest = a.s.View
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -466,6 +466,7 @@
 	case http.MethodPut:
 		in, bad := handler.ParseBeat(id, r.Body)
 		if bad != nil {
+			c.log.Printf("core: beat of %s from %s is refused: %v", id, r.Conn.RemoteAddr(), bad)
 			return wire.Problem(400, bad.Error())
 		}
 		err = c.beat(ctx, in)
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -53,6 +53,9 @@
 		}
 		return nil, &wire.Status{Code: 400, Text: "the proposal is empty"}
 	})
+	if p.Configuration != nil && wire.StatusOf(err) == 400 {
+		c.log.Printf("core: a configuration of %d bytes is refused: %v", len(p.Configuration), err)
+	}
 	return &Proposed{}, err
 }
 
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -180,3 +180,29 @@
 		t.Errorf("handed over without an answer: %v", out)
 	}
 }
+
+func TestADiskThatHangsOrSlowsDownIsIll(t *testing.T) {
+	d := &disk{}
+	for what, c := range map[string]struct {
+		began time.Time
+		usual time.Duration
+		ill   bool
+	}{"idle": {ill: false}, "writing": {time.Now(), time.Millisecond, false}, "hangs": {time.Now().Add(-time.Second), time.Millisecond, true}, "slow": {usual: 200 * time.Millisecond, ill: true}} {
+		d.began, d.usual = c.began, c.usual
+		if err := d.health(250*time.Millisecond, 80*time.Millisecond); (err != nil) != c.ill {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	s := open(t)
+	real := s.disk.db
+	closed, err := core.OpenDisk(filepath.Join(t.TempDir(), "other.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	s.disk.db = closed // refuses every write
+	if err := s.disk.commit([]change{{key: []byte("k")}}); err == nil {
+		t.Error("a refused write is not told")
+	}
+	s.disk.db = real
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -112,3 +112,28 @@
 		t.Error("who shares a connection is not told")
 	}
 }
+
+func TestAnAnswerToAnotherCallDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		pool := &Pool{Network: Network{Dial: func(context.Context, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			id := []string{"x", "mine", "mine"}[dials-1]
+			go func() {
+				_, _ = far.Read(make([]byte, 4096))
+				_, _ = far.Write([]byte("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"))
+			}()
+			return near, nil
+		}}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		call := &Call{Method: "GET", Target: "/", Host: "h", Header: []string{"Id", "mine"}, Repeats: "Id"}
+		if a, err := pool.Do(ctx, "h:1", call); err == nil || NotSent(err) || pool.Open("h:1") != 0 {
+			t.Errorf("another call's answer: %+v %v", a, err)
+		}
+		if _, err := pool.Do(ctx, "h:1", call); err != nil || dials != 2 {
+			t.Errorf("our answer: %v after %d dials", err, dials)
+		}
+	})
+}
