A store that is emptied keeps its copies, and may take one, while no other store can

Found by reading Plan with a retired store and another one down: the copy was dropped to one. Tested in TestRetiredAndLeavingStoresAreEmptied.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -293,6 +293,13 @@
 		}
 		return out
 	}
+	// A store that is to be emptied still takes a copy where there is no other.
+	var last []string
+	for _, name := range slices.Sorted(maps.Keys(next.Stores)) {
+		if up(name) && !stores[name].Leaving && next.Stores[name].Retire == RetireActive {
+			last = append(last, name)
+		}
+	}
 	mended := true
 	for i := range next.Partitions {
 		p := &next.Partitions[i]
@@ -307,7 +314,7 @@
 			primary = alive[at].Store
 			alive = slices.Delete(alive, at, at+1)
 		}
-		for _, name := range wanted(i) {
+		for _, name := range append(wanted(i), last...) {
 			if len(alive) < spread.Backups && name != primary && !slices.ContainsFunc(alive, func(b Backup) bool { return b.Store == name }) {
 				alive = append(alive, Backup{Store: name})
 			}
@@ -359,7 +366,7 @@
 			continue
 		}
 		keep := slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return !slices.Contains(want, b.Store) })
-		if len(keep) < len(p.Backups) && len(keep) >= min(spread.Backups, len(want)-1) && slices.Contains(want, p.Primary) {
+		if len(keep) < len(p.Backups) && len(keep) >= spread.Backups && slices.Contains(want, p.Primary) {
 			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: p.Primary, Backups: keep}
 			changed = true
 		}
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -160,7 +160,14 @@
 	}
 	s := stores("a", "b", "c")
 	x := s["c"]
-	x.Leaving = true
+	x.Up = false // no other store could take the copies of the retired one
+	s["c"] = x
+	for i, y := range settle(t, p, s, one, nil).Partitions {
+		if len(y.Backups) < 1 {
+			t.Errorf("partition %d is left with one copy: %+v", i, y)
+		}
+	}
+	x.Up, x.Leaving = true, true
 	s["c"] = x
 	if q := settle(t, Found(stores("a", "b", "c"), one), s, one, nil); holds(q, "c") {
 		t.Errorf("leaving: %+v", q)
