Messages wait for a meter out of reach; the head asks for a vacant duty first

Now a message waits for its meter as for its store; a question asks for as many grants as messages wait; the head goes first.

--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -116,7 +116,7 @@
 func (c *Core) steward(ctx context.Context) {
 	tick := time.NewTicker(c.contact / 32)
 	defer tick.Stop()
-	var settled, looked time.Time
+	var looked time.Time
 	count, since := 0, time.Now()
 	wasHeld := false
 	for {
@@ -133,14 +133,14 @@
 		}
 		c.missed(ctx)
 		c.duty.Voters = c.chain.Voters()
-		// Not all candidates ask at the same moment for a vacant duty.
-		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && c.voter.Vacant(c.duty.Name) && rand.IntN(len(c.duty.Voters)+1) == 0) {
+		// Not all candidates ask at the same moment for a vacant duty: the head
+		// of the chain goes first.
+		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && c.voter.Vacant(c.duty.Name) && (c.chain.Head() == c.self || rand.IntN(2*len(c.duty.Voters)+1) == 0)) {
 			c.duty.Round(ctx, c.Placement().Term)
 		}
 		term, held := c.duty.Held()
 		if held != wasHeld {
 			wasHeld = held
-			settled = time.Now()
 			if held {
 				c.log.Printf("steward: this core holds the duty, term %d", term)
 			}
@@ -151,8 +151,8 @@
 		looked = time.Now()
 		stores := c.watch(ctx)
 		cur := c.Placement()
-		// A new steward first hears everyone out.
-		if time.Since(settled) < c.contact/8 && !heardAll(cur, stores) {
+		// A core that just came into touch first hears everyone out.
+		if c.chain.SteadyFor() < c.contact/8 && !heardAll(cur, stores) {
 			continue
 		}
 		var next Placement
@@ -202,10 +202,10 @@
 	}
 }
 
-// heardAll tells whether every store of a placement was heard of lately.
+// heardAll tells whether every store that holds anything was heard of.
 func heardAll(p Placement, stores map[string]StoreStatus) bool {
 	for name := range p.Stores {
-		if _, ok := stores[name]; !ok {
+		if _, ok := stores[name]; !ok && holds(p, name) {
 			return false
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -213,6 +213,12 @@
 func (e *Edge) admit(ctx context.Context, r *wire.Request, table *configuration.Table, m *client.Message, route *configuration.Route) (*wire.Response, time.Duration) {
 	began := time.Now()
 	waited := func() time.Duration { return time.Since(began) + r.Read.Sub(r.Received) }
+	deadline := m.Deadline
+	if deadline <= 0 {
+		deadline = e.set.Contact() / 2
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Received.Add(deadline*24/25))
+	defer cancel()
 	if tenant := table.Tenant(m.Tenant); tenant != nil && tenant.RatePerS > 0 {
 		// What is asked is recorded, then checked. The limit binds over all
 		// nodes, so here a grant decides, and X follows from what was granted.
@@ -225,12 +231,6 @@
 			return later(wire.Problem(429, "tenant "+m.Tenant+" is over its limit"), x), waited()
 		}
 	}
-	deadline := m.Deadline
-	if deadline <= 0 {
-		deadline = e.set.Contact() / 2
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.Received.Add(deadline*24/25))
-	defer cancel()
 	record := partition.Record{
 		ID: m.ID, Tenant: m.Tenant, Method: r.Method, Target: r.RequestURI, Host: r.Host,
 		Type: r.Header.Get("Content-Type"), OrderKey: m.OrderKey, Revision: table.Revision, Body: r.Body,
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -30,6 +30,9 @@
 	given   float64       // granted since the last round
 	granted float64       // smoothed grants a second
 	asking  chan struct{} // closed when the answer to the question under way is there
+	asked   time.Time     // when it was put
+	waiting int           // messages that wait for a grant
+	lost    bool          // the meter did not answer the last question
 	refused time.Time     // no use asking again before
 	meter   time.Time     // when the meter last answered
 	spare   float64       // allowance while the meter is out of reach
@@ -50,64 +53,56 @@
 	return quota.Throttle(observed, bound)
 }
 
-// take uses one grant; if there is none, it tells how long to wait.
+// take uses one grant; if the tenant is over its limit, it tells how long to
+// wait. While the meter is out of reach nobody knows whether it is, so the
+// message waits for it, as it would for its store, until ctx ends.
 func (g *grants) take(ctx context.Context, t *configuration.Tenant) time.Duration {
-	for try := 0; ; try++ {
-		g.mu.Lock()
-		x := g.tenants[t.Name]
-		if x == nil {
-			x = &grant{}
-			g.tenants[t.Name] = x
-		}
-		if try == 0 {
-			x.demand++
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	x := g.tenants[t.Name]
+	if x == nil {
+		x = &grant{}
+		g.tenants[t.Name] = x
+	}
+	x.demand++
+	x.waiting++
+	defer func() { x.waiting-- }()
+	wait := func(done <-chan struct{}, d time.Duration) {
+		g.mu.Unlock()
+		timer := time.NewTimer(d)
+		select {
+		case <-done:
+		case <-timer.C:
+		case <-ctx.Done():
 		}
+		timer.Stop()
+		g.mu.Lock()
+	}
+	for ctx.Err() == nil {
 		now := time.Now()
-		if x.left >= 1 && now.Before(x.until) {
+		switch {
+		case x.left >= 1 && now.Before(x.until):
 			x.left--
-			g.mu.Unlock()
 			return 0
+		case now.Before(x.refused):
+			return x.refused.Sub(now)
+		case x.lost && g.alone(x, t, now):
+			return 0
+		case x.lost && x.asking == nil && now.Sub(x.asked) < g.node.Settings.Contact()/80:
+			wait(nil, g.node.Settings.Contact()/80)
+			continue
 		}
-		if now.Before(x.refused) {
-			wait := x.refused.Sub(now)
-			g.mu.Unlock()
-			return wait
-		}
-		if try >= 2 {
-			ok := g.alone(x, t, now)
-			g.mu.Unlock()
-			if ok {
-				return 0
-			}
-			return quota.Window / 2
-		}
-		asking := x.asking
-		if asking == nil {
-			asking = make(chan struct{})
-			x.asking = asking
+		if x.asking == nil {
+			x.asking, x.asked = make(chan struct{}), now
 			go g.ask(context.WithoutCancel(ctx), []string{t.Name})
 		}
-		g.mu.Unlock()
-		soon := time.NewTimer(g.node.Settings.Contact() / 40)
-		select {
-		case <-asking:
-		case <-soon.C: // the meter is out of reach, it seems
-			g.mu.Lock()
-			ok := g.alone(x, t, time.Now())
-			g.mu.Unlock()
-			if ok {
-				return 0
-			}
-			select {
-			case <-asking:
-			case <-ctx.Done():
-				return quota.Window / 2
-			}
-		case <-ctx.Done():
-			return quota.Window / 2
+		asking := x.asking
+		wait(asking, g.node.Settings.Contact()/40)
+		if x.asking == asking { // no answer so far
+			x.lost = true
 		}
-		soon.Stop()
 	}
+	return quota.Window / 2
 }
 
 // alone lets a little through while the meter of a tenant is out of reach, and
@@ -156,7 +151,7 @@
 			// Where messages are few, what is asked ahead would lie idle here while
 			// other edges lack it: their grants are asked for one by one.
 			if x.rate*g.round().Seconds() >= 1 && x.asking == nil && !now.Before(x.refused) && (x.left < g.ahead(x)/2 || now.After(x.until)) {
-				x.asking = make(chan struct{})
+				x.asking, x.asked = make(chan struct{}), now
 				names = append(names, name)
 			}
 		}
@@ -193,7 +188,7 @@
 			byStore[at].Back[name] = x.left
 			x.left = 0
 		}
-		byStore[at].Want[name] = max(1, g.ahead(x)-x.left)
+		byStore[at].Want[name] = max(1, float64(x.waiting), g.ahead(x)-x.left)
 	}
 	g.mu.Unlock()
 	var tasks sync.WaitGroup
@@ -202,12 +197,17 @@
 			began := time.Now()
 			var out store.Granted
 			err := g.node.Pool.Post(ctx, p.Stores[at].Address, "/grant", in, nil, &out)
-			if err != nil {
-				return
-			}
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			now := time.Now()
+			if err != nil {
+				for name := range in.Want {
+					if x := g.tenants[name]; x != nil {
+						x.lost = true
+					}
+				}
+				return
+			}
 			for name, w := range in.Want {
 				x := g.tenants[name]
 				if x == nil {
@@ -219,7 +219,7 @@
 				given := out.Given[name]
 				x.left += given
 				x.given += given
-				x.until, x.meter = began.Add(quota.Window), now
+				x.until, x.meter, x.lost = began.Add(quota.Window), now, false
 				if given < w {
 					x.refused = now.Add(min(g.round()/2, time.Duration(out.WaitMs[name])*time.Millisecond))
 				}
