An added store takes its share of copies only; outcomes go with the next message

Now a partition keeps the stores it lies on (beside), as it keeps its home; a store that is added takes over its share, counted in a test.

Calls between stores: each outcome woke the link to each copy, as each message did. Nobody waits for outcomes, so they go within 1/16 of a lease, or with the next message. A planned handover still waits for them.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -24,7 +24,8 @@
 // new epoch; copies refuse what comes under an older one.
 type Partition struct {
 	Epoch   int64    `json:"epoch"`
-	Home    string   `json:"home"` // the store that leads it when all is well
+	Home    string   `json:"home"`             // the store that leads it when all is well
+	Beside  []string `json:"beside,omitempty"` // those that back it up then
 	Primary string   `json:"primary"`
 	Backups []Backup `json:"backups,omitempty"`
 }
@@ -122,8 +123,12 @@
 		p.Partitions = append(p.Partitions, Partition{Epoch: 1, Home: order[i%len(order)]})
 		x := &p.Partitions[i]
 		want := p.ideal(l, i, spread)
-		x.Primary = want[0]
-		for _, b := range want[1:] {
+		x.Primary, x.Beside = want[0], want[1:]
+	}
+	p.settleBeside(l, spread)
+	for i := range p.Partitions {
+		x := &p.Partitions[i]
+		for _, b := range x.Beside {
 			x.Backups = append(x.Backups, Backup{b, true})
 		}
 	}
@@ -137,15 +142,7 @@
 	for _, x := range p.Partitions {
 		load[x.Home]++
 	}
-	far := func(a, b string) int {
-		switch x, y := p.Stores[a], p.Stores[b]; {
-		case x.Zone == y.Zone:
-			return 0
-		case x.Region == y.Region:
-			return 1
-		}
-		return 2
-	}
+	far := p.far
 	move := func(i int, to string) {
 		load[p.Partitions[i].Home]--
 		load[to]++
@@ -185,6 +182,99 @@
 	return changed
 }
 
+// far is how far two stores lie apart.
+func (p Placement) far(a, b string) int {
+	switch x, y := p.Stores[a], p.Stores[b]; {
+	case x.Zone == y.Zone:
+		return 0
+	case x.Region == y.Region:
+		return 1
+	}
+	return 2
+}
+
+// reach tells how far the stores of a partition lie from its home, nearest
+// first, and over how many zones and regions they lie.
+func (p Placement) reach(home string, beside []string) []int {
+	var out []int
+	zones, regions := map[string]bool{p.Stores[home].Zone: true}, map[string]bool{p.Stores[home].Region: true}
+	for _, name := range beside {
+		s := p.Stores[name]
+		zones[s.Zone], regions[s.Region] = true, true
+		out = append(out, p.far(home, name))
+	}
+	slices.Sort(out)
+	return append(out, len(zones), len(regions))
+}
+
+// settleBeside keeps the backups of each partition where they are as long as
+// they lie as near as may be, and gives a store that was added its share of
+// them. What moves is what must, however many stores there are.
+func (p *Placement) settleBeside(l *layout, spread Spread) (changed bool) {
+	load, all := map[string]int{}, 0
+	belongs := map[string]bool{}
+	for _, name := range l.order {
+		belongs[name] = true
+	}
+	for _, x := range p.Partitions {
+		for _, name := range x.Beside {
+			load[name]++
+			all++
+		}
+	}
+	for i := range p.Partitions {
+		x := &p.Partitions[i]
+		ideal := p.ideal(l, i, spread)
+		if len(ideal) == 0 {
+			return false
+		}
+		gone := slices.ContainsFunc(x.Beside, func(name string) bool { return !belongs[name] || name == x.Home })
+		if !gone && slices.Equal(p.reach(x.Home, x.Beside), p.reach(ideal[0], ideal[1:])) {
+			continue
+		}
+		for _, name := range x.Beside {
+			load[name]--
+		}
+		var beside []string
+		for _, pick := range ideal[1:] { // any store of its zone will do as well
+			best := ""
+			for _, name := range l.order {
+				if p.Stores[name].Zone == p.Stores[pick].Zone && name != x.Home && !slices.Contains(beside, name) && (best == "" || load[name] < load[best]) {
+					best = name
+				}
+			}
+			beside = append(beside, best)
+			load[best]++
+		}
+		x.Beside, changed = beside, true
+	}
+	share := all / max(1, len(l.order))
+	for _, name := range l.order {
+		for load[name] < share {
+			from, at := -1, 0
+			for i, x := range p.Partitions {
+				if x.Home == name || slices.Contains(x.Beside, name) {
+					continue
+				}
+				for j, b := range x.Beside {
+					if p.Stores[b].Zone == p.Stores[name].Zone && load[b] > share && (from < 0 || load[b] > load[p.Partitions[from].Beside[at]]) {
+						from, at = i, j
+					}
+				}
+			}
+			if from < 0 {
+				break
+			}
+			x := &p.Partitions[from]
+			load[x.Beside[at]]--
+			load[name]++
+			x.Beside = slices.Clone(x.Beside)
+			x.Beside[at], changed = name, true
+		}
+	}
+	return changed
+}
+
 // layout is the stores that partitions belong to, and for each of them the
 // others by how far they lie from it, worked out once for each that is a home.
 type layout struct {
@@ -316,9 +406,10 @@
 	}
 	l := next.layout()
 	changed = next.settleHomes(l.order) || changed
+	changed = next.settleBeside(l, spread) || changed
 	// wanted is where a partition is to lie as things are, the primary first.
 	wanted := func(i int) (out []string) {
-		for _, name := range next.ideal(l, i, spread) {
+		for _, name := range append([]string{next.Partitions[i].Home}, next.Partitions[i].Beside...) {
 			if usable(name) {
 				out = append(out, name)
 			}
@@ -364,7 +455,7 @@
 			}
 		}
 		if primary != p.Primary || !slices.Equal(alive, p.Backups) {
-			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: primary, Backups: alive}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Beside: p.Beside, Primary: primary, Backups: alive}
 			changed = true
 		}
 		mended = mended && p.InStep(spread.Backups)
@@ -387,7 +478,7 @@
 		}
 		if heir != "" { // the primary stops first
 			if ready[i] == p.Epoch {
-				*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: heir, Backups: append(p.without(heir), Backup{p.Primary, true})}
+				*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Beside: p.Beside, Primary: heir, Backups: append(p.without(heir), Backup{p.Primary, true})}
 				changed = true
 			} else {
 				handovers = append(handovers, i)
@@ -405,13 +496,13 @@
 			}
 		}
 		if len(missing) > 0 {
-			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: p.Primary, Backups: append(slices.Clone(p.Backups), missing...)}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Beside: p.Beside, Primary: p.Primary, Backups: append(slices.Clone(p.Backups), missing...)}
 			changed = true
 			continue
 		}
 		keep := slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return !slices.Contains(want, b.Store) })
 		if len(keep) < len(p.Backups) && len(keep) >= spread.Backups && slices.Contains(want, p.Primary) {
-			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Primary: p.Primary, Backups: keep}
+			*p = Partition{Epoch: p.Epoch + 1, Home: p.Home, Beside: p.Beside, Primary: p.Primary, Backups: keep}
 			changed = true
 		}
 	}
--- a/internal/core/placement_test.go
+++ b/internal/core/placement_test.go
@@ -298,3 +298,61 @@
 		}
 	})
 }
+
+// What a round of the steward costs follows the number of partitions: ten times
+// the stores must not cost a hundred times as much.
+func TestAPlanCostsWhatItPlaces(t *testing.T) {
+	cost := func(each int) float64 {
+		s := map[string]StoreStatus{}
+		for z := range 6 {
+			for i := range each {
+				name := fmt.Sprintf("s%d-%d", z, i)
+				s[name] = StoreStatus{Node: relay.Node{Name: name, Role: "store", Zone: fmt.Sprint("z", z), Region: fmt.Sprint("r", z/2), Disk: "disk-" + name}, Up: true}
+			}
+		}
+		spread := Spread{Backups: 2}
+		p := Found(s, spread)
+		return testing.AllocsPerRun(3, func() {
+			if _, _, changed := Plan(p, s, nil, spread); changed {
+				t.Error("a placement that is as it should be is changed")
+			}
+		})
+	}
+	if small, large := cost(1), cost(10); large > 20*small {
+		t.Errorf("%.0f steps for 6 stores, %.0f for 60", small, large)
+	}
+}
+
+// A store that is added takes over its share of the copies, and no others move.
+func TestAddedStoresMoveTheirShareOnly(t *testing.T) {
+	for _, each := range []int{3, 10} {
+		s := map[string]StoreStatus{}
+		add := func(z, i int) {
+			name := fmt.Sprintf("s%d-%d", z, i)
+			s[name] = StoreStatus{Node: relay.Node{Name: name, Role: "store", Zone: fmt.Sprint("z", z), Region: fmt.Sprint("r", z/2), Disk: "disk-" + name}, Up: true}
+		}
+		for z := range 6 {
+			for i := range each {
+				add(z, i)
+			}
+		}
+		spread := Spread{Backups: 2}
+		p := Found(s, spread)
+		add(1, 99)
+		add(4, 10)
+		q := settle(t, p, s, spread, func(Placement, Placement) {})
+		moved, got := 0, map[string]int{}
+		for i, x := range q.Partitions {
+			for _, b := range append(x.Backups, Backup{Store: x.Primary}) {
+				got[b.Store]++
+				if !p.Partitions[i].Has(b.Store) {
+					moved++
+				}
+			}
+		}
+		share := 3 * len(q.Partitions) / len(s)
+		if moved > 3*share || got["s1-99"] < share/2 || got["s4-10"] < share/2 {
+			t.Errorf("%d copies of %d moved; the new stores hold %d and %d, a share is %d", moved, 3*len(q.Partitions), got["s1-99"], got["s4-10"], share)
+		}
+	}
+}
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -17,6 +17,7 @@
 type link struct {
 	peer string
 	wake chan struct{}
+	due  bool // it is to be woken soon; the set's lock guards it
 }
 
 func (l *link) nudge() {
@@ -32,13 +33,30 @@
 	}
 }
 
+// wakeLinkSoon lets what nobody waits for go with the next message, or with
+// others of its kind: a call for each outcome would double the calls between
+// stores. The lock is held.
+func (s *Set) wakeLinkSoon(peer string) {
+	l := s.links[peer]
+	if l == nil || l.due {
+		return
+	}
+	l.due = true
+	time.AfterFunc(s.Lease()/16, func() {
+		s.mu.Lock()
+		l.due = false
+		s.mu.Unlock()
+		l.nudge()
+	})
+}
+
 // startLink begins to send to a peer. The lock is held.
 func (s *Set) startLink(peer string) {
 	if s.links[peer] != nil {
 		s.links[peer].nudge()
 		return
 	}
-	l := &link{peer, make(chan struct{}, 1)}
+	l := &link{peer: peer, wake: make(chan struct{}, 1)}
 	s.links[peer] = l
 	l.nudge()
 	s.tasks.Go(func() { s.send(l) })
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -215,7 +215,11 @@
 	s.write(p, r, done)
 	for _, x := range p.replicas {
 		x.dirty[r.ID] = r
-		s.wakeLink(x.store)
+		if r.State == Pending {
+			s.wakeLink(x.store)
+		} else {
+			s.wakeLinkSoon(x.store)
+		}
 	}
 }
 
