--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,15 +111,18 @@
 	asking context.CancelFunc
 	parent string // the one asked now
 	doubts string // the parent that is not to be asked next
+
+	doubted time.Time
 }
 
 // Doubt tells that the news may be late: somebody waits for what they should
-// have told. Another parent is asked at once.
+// have told. Another parent is asked at once, but only once for as long as the
+// one before is left alone: it is no help to ask all cores in turn.
 func (f *Follower) Doubt() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.asking != nil {
-		f.doubts = f.parent
+	if f.asking != nil && time.Since(f.doubted) > f.Contact/2 {
+		f.doubts, f.doubted = f.parent, time.Now()
 		f.asking()
 	}
 }
