A core decodes a placement once, and not with each sign of life

Each sign of life down the chain (contact/16) decoded placement and configuration anew on each core: 2 ms of a whole core. A write decoded the placement three times on its way. Now once, while the rest of the chain takes it.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -101,6 +101,8 @@
 	Contact time.Duration
 	Log     *log.Logger
 	Voter   *ballot.Voter
+	// Prepare is called with what a write sets, before it is known to last.
+	Prepare func(Documents)
 	// Committed is called with each state that the tail is known to hold.
 	Committed func(Documents)
 	// Others are the cores heard of lately, whether in the view or not.
@@ -370,6 +372,9 @@
 // all that this machine holds. The right to write is held.
 func (c *Chain) forward(ctx context.Context, p Pass) error {
 	if next, ok := p.View.next(c.Self); ok {
+		if len(p.Set) > 0 {
+			go c.Prepare(p.Set)
+		}
 		ctx, cancel := context.WithTimeout(ctx, c.Contact/5)
 		defer cancel()
 		for {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,9 +4,9 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"fmt"
 	"log"
 	"net/http"
@@ -62,6 +62,9 @@
 	handing   map[string]bool      // stores asked to stop partitions
 	sentAt    map[string]time.Time
 	sent      map[string]map[string]journal.Version
+	published chain.Documents // as last told to the nodes
+	decoded   []byte          // a placement as the chain holds it, and what it says
+	decodedAs Placement
 	spreading []Item           // what the other cores are to hear next
 	kept      map[string]int64 // leavings on this disk: 1 draining, 2 gone
 
@@ -95,7 +98,7 @@
 	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 32)}
 	c.chain = &chain.Chain{
 		Self: chain.Member{Address: c.self}, Losses: int(set.FaultTolerance.HostFailures), Pool: c.pool, Contact: c.contact, Log: logger,
-		Voter: c.voter, Committed: c.committed, Others: c.others, Ready: c.isLoaded,
+		Voter: c.voter, Prepare: c.prepare, Committed: c.committed, Others: c.others, Ready: c.isLoaded,
 	}
 	var founders []string
 	if set.Bootstrap {
@@ -156,6 +159,13 @@
 
 // committed publishes what the tail is known to hold.
 func (c *Core) committed(docs chain.Documents) {
+	c.mu.Lock()
+	same := bytes.Equal(c.published[docConfiguration], docs[docConfiguration]) && bytes.Equal(c.published[docPlacement], docs[docPlacement])
+	c.published = docs
+	c.mu.Unlock()
+	if same { // a sign of life
+		return
+	}
 	if raw := docs[docConfiguration]; raw != nil {
 		if cur, ok := c.journal.Get(relay.KeyConfiguration); !ok || !slices.Equal(journal.Decode[[]byte](cur), raw) {
 			if conf, err := configuration.Parse(raw); err == nil {
@@ -166,8 +176,7 @@
 		}
 	}
 	if raw := docs[docPlacement]; raw != nil {
-		var p Placement
-		if json.Unmarshal(raw, &p) == nil {
+		if p, err := c.placementOf(docs); err == nil {
 			c.mu.Lock()
 			newer := p.Version > c.placement.Version
 			if newer {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -47,9 +48,9 @@
 		case p.Configuration != nil:
 			return decideConfiguration(docs, p)
 		case p.Placement != nil:
-			return decidePlacement(docs, p.Placement)
+			return c.decidePlacement(docs, p.Placement)
 		case p.Retire != "":
-			return decideRetire(docs, p.Retire, int(c.set.FaultTolerance.HostFailures))
+			return c.decideRetire(docs, p.Retire, int(c.set.FaultTolerance.HostFailures))
 		}
 		return nil, &wire.Status{Code: 400, Text: "the proposal is empty"}
 	})
@@ -100,15 +101,34 @@
 	return chain.Documents{docConfiguration: p.Configuration, docTaken: raw}, err
 }
 
-func placementOf(docs chain.Documents) (p Placement, err error) {
-	if raw := docs[docPlacement]; raw != nil {
-		err = json.Unmarshal(raw, &p)
+// placementOf decodes the placement in the state, once for all who ask for the
+// same one: it is the largest thing that a core reads. It is not to be changed.
+func (c *Core) placementOf(docs chain.Documents) (p Placement, err error) {
+	raw := docs[docPlacement]
+	if raw == nil {
+		return p, nil
+	}
+	c.mu.Lock()
+	p = c.decodedAs
+	known := bytes.Equal(raw, c.decoded)
+	c.mu.Unlock()
+	if known {
+		return p, nil
+	}
+	p = Placement{}
+	if err = json.Unmarshal(raw, &p); err == nil {
+		c.mu.Lock()
+		c.decoded, c.decodedAs = raw, p
+		c.mu.Unlock()
 	}
 	return p, err
 }
 
-func decidePlacement(docs chain.Documents, next *Placement) (chain.Documents, error) {
-	cur, err := placementOf(docs)
+// prepare decodes what a pass sets while the rest of the chain takes it.
+func (c *Core) prepare(docs chain.Documents) { _, _ = c.placementOf(docs) }
+
+func (c *Core) decidePlacement(docs chain.Documents, next *Placement) (chain.Documents, error) {
+	cur, err := c.placementOf(docs)
 	if err != nil {
 		return nil, err
 	}
@@ -119,8 +139,8 @@
 	return chain.Documents{docPlacement: raw}, err
 }
 
-func decideRetire(docs chain.Documents, name string, failures int) (chain.Documents, error) {
-	cur, err := placementOf(docs)
+func (c *Core) decideRetire(docs chain.Documents, name string, failures int) (chain.Documents, error) {
+	cur, err := c.placementOf(docs)
 	if err != nil {
 		return nil, err
 	}
@@ -191,7 +211,7 @@
 	if err != nil {
 		return "", err
 	}
-	p, err := placementOf(s.Documents)
+	p, err := c.placementOf(s.Documents)
 	if err != nil {
 		return "", err
 	}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -33,7 +33,7 @@
 			o.Revision = conf.Revision
 		}
 	}
-	if o.Placement, err = placementOf(s.Documents); err != nil {
+	if o.Placement, err = c.placementOf(s.Documents); err != nil {
 		return o, err
 	}
 	page, _ := c.journal.Since("", 0, nil)
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -135,7 +135,9 @@
 		c.duty.Voters = c.chain.Voters()
 		// Not all candidates ask at the same moment for a vacant duty: the head
 		// of the chain goes first.
-		if left, held := c.duty.Left(); !nudged && (held && left < c.duty.Lease*5/8 || !held && c.voter.Vacant(c.duty.Name) && (c.chain.Head() == c.self || rand.IntN(2*len(c.duty.Voters)+1) == 0)) {
+		// Who holds it renews it in any case: work that comes without a pause
+		// must not cost the duty.
+		if left, held := c.duty.Left(); held && left < c.duty.Lease*5/8 || !nudged && (!held && c.voter.Vacant(c.duty.Name) && (c.chain.Head() == c.self || rand.IntN(2*len(c.duty.Voters)+1) == 0)) {
 			c.duty.Round(ctx, c.Placement().Term)
 		}
 		term, held := c.duty.Held()
