News go to those whom they concern

A node needs the cores and its own zone, and an edge no handlers. A digest keeps the large values apart, so that a new parent does not send them for a neighbour in the same bucket.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -148,7 +148,7 @@
 	}
 	if changed {
 		e.changed, e.told = it.Version, now
-		r.journal.Append(journal.Event{Key: it.Key, Version: it.Version, Value: it.Value})
+		r.journal.Append(journal.Event{Key: it.Key, Version: it.Version, Value: it.Value, Scope: e.node.Scope()})
 	}
 	return changed
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -36,7 +36,7 @@
 	if o.Placement, err = c.placementOf(s.Documents); err != nil {
 		return o, err
 	}
-	page, _ := c.journal.Since("", 0, nil)
+	page, _ := c.journal.Since("", 0, nil, nil)
 	for _, e := range page.Events {
 		switch {
 		case e.Gone():
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -31,6 +31,7 @@
 	Key     string          `json:"key"`
 	Version Version         `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	Scope   string          `json:"scope,omitempty"` // whom it concerns; empty for all
 	number  uint64
 	at      time.Time
 	encoded []byte // once somebody has asked for it
@@ -39,11 +40,16 @@
 // Gone tells whether the event takes its key away.
 func (e Event) Gone() bool { return len(e.Value) == 0 || string(e.Value) == "null" }
 
-// bucket is where the digest counts a key, and mark what an event adds to it.
-func (e Event) bucket() int { return int(hash(e.Key, Version{}) % buckets) }
-func (e Event) mark() uint64 {
-	return hash(e.Key, e.Version)
+// bucket is where the digest counts a key: the few large values by themselves,
+// those of a kind (kind/name) elsewhere. mark is what an event adds to it.
+func (e Event) bucket() int {
+	h := hash(e.Key, Version{})
+	if strings.Contains(e.Key, "/") {
+		return int(single + h%(buckets-single))
+	}
+	return int(h % single)
 }
+func (e Event) mark() uint64 { return hash(e.Key, e.Version) }
 
 func hash(key string, v Version) uint64 {
 	h := fnv.New64a()
@@ -51,8 +57,12 @@
 	return h.Sum64()
 }
 
-// buckets is into how many parts the digest divides the keys.
-const buckets = 256
+// buckets is into how many parts the digest divides the keys; the first of them
+// are for keys without a kind.
+const (
+	buckets = 256
+	single  = 16
+)
 
 // Journal is the events of one process.
 type Journal struct {
@@ -173,10 +183,10 @@
 // Oldest is when the first of the events was appended.
 func (p Page) Oldest() time.Time { return p.Events[0].at }
 
-// Since gives the events after a number, or all when the source is another, and
-// whether any of them is urgent. For a reader of another source, what its digest
-// shows that it has is left out.
-func (j *Journal) Since(source string, number uint64, digest []byte) (p Page, urgent bool) {
+// Since gives the events after a number that a reader wants, or all when the
+// source is another, and whether any of them is urgent. For a reader of another
+// source, what its digest shows that it has is left out.
+func (j *Journal) Since(source string, number uint64, digest []byte, wants func(Event) bool) (p Page, urgent bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	known := source == j.source && number <= j.number
@@ -188,6 +198,9 @@
 		if at := e.bucket(); !known && len(digest) == 8*buckets && binary.BigEndian.Uint64(digest[8*at:]) == j.digest[at] {
 			continue
 		}
+		if wants != nil && !wants(*e) {
+			continue
+		}
 		if e.encoded == nil {
 			e.encoded = Encode(*e)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,26 @@
 	Number uint64 `json:"number"`
 	WaitMs int64  `json:"wait-ms"`
 	Digest []byte `json:"digest,omitempty"` // what the asker holds, if it never asked this source before
+	Zone   string `json:"zone,omitempty"`   // of the asker
+	Role   string `json:"role,omitempty"`
+}
+
+// wants tells whether an event concerns the asker: of the nodes the cores and
+// those of its zone, from whom its tree is made, and handlers unless it is an
+// edge, which delivers nothing. An edge has no stores below it.
+func (p *Poll) wants(e journal.Event) bool {
+	if p.Role == "edge" && strings.HasPrefix(e.Key, PrefixInstance) {
+		return false
+	}
+	return e.Scope == "" || p.Zone == "" || e.Scope == p.Zone
+}
+
+// Scope is whom the news of a node concern.
+func (n Node) Scope() string {
+	if n.Role == "core" {
+		return ""
+	}
+	return n.Zone
 }
 
 // Source answers polls from a journal.
@@ -71,7 +92,7 @@
 			return wire.Problem(503, "this node hears no news itself")
 		}
 		changed, urgent := s.Journal.Changes()
-		page, prompt := s.Journal.Since(in.Source, in.Number, in.Digest)
+		page, prompt := s.Journal.Since(in.Source, in.Number, in.Digest, in.wants)
 		var linger <-chan time.Time
 		if len(page.Events) > 0 {
 			left := s.Linger - time.Since(page.Oldest())
@@ -253,7 +274,7 @@
 		cctx, cancel := context.WithTimeout(ctx, wait+f.Contact/8)
 		page := journal.Page{}
 		last, asked := at[target]
-		poll := Poll{Source: last.Source, Number: last.Number, WaitMs: wait.Milliseconds()}
+		poll := Poll{Source: last.Source, Number: last.Number, WaitMs: wait.Milliseconds(), Zone: f.Self.Zone, Role: f.Self.Role}
 		if !asked {
 			poll.Digest = f.Journal.Digest()
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// A node hears of the cores and of its own zone, an edge not of handlers: what
+// each hears does not grow with the zones.
+func TestNewsGoToThoseWhomTheyConcern(t *testing.T) {
+	j := journal.New("parent", time.Hour, PrefixNode)
+	for _, z := range []string{"z1", "z2", "z3"} {
+		for _, n := range []Node{{Name: "core-" + z, Role: "core", Zone: z}, {Name: "store-" + z, Role: "store", Zone: z}, {Name: "edge-" + z, Role: "edge", Zone: z}} {
+			j.Append(journal.Event{Key: PrefixNode + n.Name, Version: journal.Version{Major: 1}, Value: journal.Encode(n), Scope: n.Scope()})
+		}
+		j.Append(journal.Event{Key: PrefixInstance + z, Version: journal.Version{Major: 1}, Value: []byte("{}")})
+	}
+	s := &Source{Journal: j, Wait: time.Second}
+	for role, want := range map[string]int{"store": 3 + 2 + 3, "edge": 3 + 2, "": 12} {
+		p := Poll{Role: role}
+		if role != "" {
+			p.Zone = "z2"
+		}
+		if n := len(poll(t, s, p).Events); n != want {
+			t.Errorf("%q: %d events, not %d", role, n, want)
+		}
+	}
+}
+
 // Many nodes that start at once are told together; a placement is told at once,
 // and what waited goes with it.
 func TestNewsThatCanWaitAreToldTogether(t *testing.T) {
