--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -212,7 +212,8 @@
 	if err != nil {
 		return fmt.Errorf("listen for our own processes: %w", err)
 	}
-	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Linger: c.contact / 32, Fresh: func() bool { return c.isLoaded() && c.chain.Steady() }}
+	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Linger: c.contact / 32, Fresh: func() bool { return c.isLoaded() && c.chain.Steady() },
+		Patience: c.contact / 16, Young: func() bool { return c.chain.SteadyFor() < c.contact/8 }}
 	mux := wire.Mux{
 		"/news":           source.Handle,
 		"/chain/pass":     wire.Method(c.chain.HandlePass),
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -218,6 +218,13 @@
 	return j.changed, j.urgent
 }
 
+// Holds tells whether there is any event.
+func (j *Journal) Holds() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.latest) > 0
+}
+
 // Digest tells what this journal holds, for another one to leave it out.
 func (j *Journal) Digest() []byte {
 	j.mu.Lock()
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -380,9 +380,13 @@
 				s.mu.Unlock()
 				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has %d backups, %d are needed", n, len(p.replicas), s.Backups)}
 			}
-			if s.full || s.disk.refuses() {
+			if s.disk.refuses() { // others lead soon: worth waiting for
 				s.mu.Unlock()
-				return &wire.Status{Code: 503, Text: "this store is full, or its disk takes no writes"}
+				return &wire.Status{Code: 421, Text: "this store's disk takes no writes"}
+			}
+			if s.full {
+				s.mu.Unlock()
+				return &wire.Status{Code: 503, Text: "this store is full"}
 			}
 			r.Partition = n
 			r.Order = p.sequence + 1
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,32 @@
 	Fresh   func() bool // whether this node hears the news itself
 	Wait    time.Duration
 	Linger  time.Duration // how long news that can wait are gathered before they are told
+	// Patience is how long a poll waits for this node to hear the news itself;
+	// a core that just started is asked by all nodes at once otherwise, again
+	// and again.
+	Patience time.Duration
+	// Young tells that this node hears the news only just now: then edges, who
+	// can do nothing without the stores, are told after those.
+	Young func() bool
+}
+
+// fresh waits until this node hears the news, and tells whether it does.
+func (s *Source) fresh(ctx context.Context) bool {
+	for began := time.Now(); s.Fresh != nil && !s.Fresh(); {
+		changed, _ := s.Journal.Changes()
+		left := s.Patience - time.Since(began)
+		if left <= 0 || ctx.Err() != nil {
+			return false
+		}
+		timer := time.NewTimer(min(left, s.Patience/4))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return true
 }
 
 // Handle answers one poll; it waits until there is something to tell. Where
@@ -87,10 +113,13 @@
 	timer := time.NewTimer(min(time.Duration(in.WaitMs)*time.Millisecond, s.Wait))
 	defer timer.Stop()
 	expired := false
-	for {
-		if s.Fresh != nil && !s.Fresh() {
+	for first := true; ; first = false {
+		if !s.fresh(ctx) {
 			return wire.Problem(503, "this node hears no news itself")
 		}
+		if first && in.Source == "" && in.Role == "edge" && s.Young != nil && s.Young() {
+			pause(ctx, s.Linger)
+		}
 		changed, urgent := s.Journal.Changes()
 		page, prompt := s.Journal.Since(in.Source, in.Number, in.Digest, in.wants)
 		var linger <-chan time.Time
@@ -275,7 +304,7 @@
 		page := journal.Page{}
 		last, asked := at[target]
 		poll := Poll{Source: last.Source, Number: last.Number, WaitMs: wait.Milliseconds(), Zone: f.Self.Zone, Role: f.Self.Role}
-		if !asked {
+		if !asked && f.Journal.Holds() {
 			poll.Digest = f.Journal.Digest()
 		}
 		f.mu.Lock()
