One late answer is not a death where many are late; suspicions go to the steward

Now, where more probes than may be lost are open at once, a silent one is asked again with contact/4; a node tells only the steward, and of one slow node each contact/20.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -428,3 +428,37 @@
 		}
 	})
 }
+
+// When everything is slow for a while, nobody is dead: no store loses its
+// partitions, and what is accepted runs once.
+func TestSlownessOfAllIsNoDeath(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		before, err := w.status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		names := w.during(plain, func() {
+			time.Sleep(time.Second)
+			w.net.slow(60 * time.Millisecond)
+			time.Sleep(2 * time.Second)
+			w.net.slow(time.Millisecond)
+			time.Sleep(3 * time.Second)
+		})
+		after, err := w.status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, p := range after.Placement.Partitions {
+			if p.Epoch != before.Placement.Partitions[i].Epoch {
+				t.Errorf("partition %d moved from %s to %s", i, before.Placement.Partitions[i].Primary, p.Primary)
+			}
+		}
+		for id := range names {
+			if n := plain.count(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	})
+}
--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -89,7 +89,7 @@
 	n := p.net
 	ip, _, _ := net.SplitHostPort(addr)
 	select {
-	case <-time.After(2 * n.delay):
+	case <-time.After(2 * n.takes()):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -150,6 +150,19 @@
 	n.dark[ip] = dark
 }
 
+// slow sets how long packets take from now on.
+func (n *network) slow(delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = delay
+}
+
+func (n *network) takes() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
+}
+
 // sever loses what goes from any of some machines to any of others, or mends it.
 func (n *network) sever(from, to []string, yes bool) {
 	n.mu.Lock()
@@ -245,7 +258,7 @@
 	if p.end != nil {
 		return 0, syscall.EPIPE
 	}
-	p.chunks = append(p.chunks, chunk{time.Now().Add(p.net.delay), append([]byte(nil), b...)})
+	p.chunks = append(p.chunks, chunk{time.Now().Add(p.net.takes()), append([]byte(nil), b...)})
 	p.stir()
 	return len(b), nil
 }
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -15,15 +15,31 @@
 	Refused bool   `json:"refused"` // its machine answers that nothing listens
 }
 
-func (c *Core) handleSuspect(_ context.Context, in *Suspicion, _ []byte) (*struct{}, error) {
-	if _, held := c.duty.Held(); held {
+// Suspected tells whether the core that was told places the partitions: the
+// others need not be told.
+type Suspected struct {
+	Steward bool `json:"steward,omitempty"`
+}
+
+func (c *Core) handleSuspect(_ context.Context, in *Suspicion, _ []byte) (*Suspected, error) {
+	_, held := c.duty.Held()
+	if held {
 		c.tasks.Go(func() { c.probe(c.life, in.Node) })
 	}
-	return &struct{}{}, nil
+	return &Suspected{held}, nil
+}
+
+// crowded tells whether more nodes are silent at once than may be lost: then it
+// is rather this core, or the network, that is slow.
+func (c *Core) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.probing) > int(c.set.FaultTolerance.HostFailures)
 }
 
 // probe asks a node itself whether it runs. No answer makes it dead for as
-// long as it does not beat again.
+// long as it does not beat again. Where many are asked at once, one late answer
+// is not a death.
 func (c *Core) probe(ctx context.Context, name string) {
 	n, ok := c.registry.nodes()[name]
 	if !ok {
@@ -42,11 +58,18 @@
 		delete(c.probing, name)
 		c.mu.Unlock()
 	}()
-	pctx, cancel := context.WithTimeout(ctx, c.contact/24)
-	defer cancel()
+	ping := func(limit time.Duration) error {
+		pctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return c.pool.Post(pctx, n.Address, "/ping", struct{}{}, nil, nil)
+	}
 	began := time.Now()
-	err := c.pool.Post(pctx, n.Address, "/ping", struct{}{}, nil, nil)
-	if err == nil {
+	err := ping(c.contact / 24)
+	if err != nil && wire.StatusOf(err) == 0 && !wire.Refused(err) && c.crowded() {
+		began = time.Now()
+		err = ping(c.contact / 4)
+	}
+	if err == nil || ctx.Err() != nil {
 		return
 	}
 	c.log.Printf("steward: %s is taken as dead: %v", name, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	sequence int64
 	leaving  bool
 	told     map[string]time.Time // suspicions reported
+	toldAny  time.Time            // the last of them
 	moved    chan struct{}        // closed at the next placement
 	beatNow  chan struct{}
 	life     context.Context // of the reports that the node sends on its own
@@ -194,25 +195,53 @@
 	}
 }
 
-// Suspect tells the cores that a node cannot be reached.
+// Suspect tells the steward that a node cannot be reached; as long as it is not
+// known who that is, all cores. When much is slow at once, hundreds of nodes
+// suspect dozens of others: each tells of one of them now and then, and of
+// those whose machine says that nothing runs there at once.
 func (n *Node) Suspect(name string, refused bool) {
+	every := n.Settings.Contact() / 20
 	n.mu.Lock()
-	recent := time.Since(n.told[name]) < n.Settings.Contact()/20
+	recent := time.Since(n.told[name]) < every || !refused && time.Since(n.toldAny) < every
 	if !recent {
-		n.told[name] = time.Now()
+		n.told[name], n.toldAny = time.Now(), time.Now()
 	}
+	steward := n.steward
 	n.mu.Unlock()
 	if recent || n.life.Err() != nil {
 		return
 	}
 	n.follower.Doubt()
-	for _, c := range n.Cores() {
-		n.reports.Go(func() {
-			ctx, cancel := context.WithTimeout(n.life, n.Settings.Contact()/8)
-			defer cancel()
-			_ = n.Pool.Post(ctx, c, "/suspect", core.Suspicion{Node: name, Refused: refused}, nil, nil)
-		})
+	tell := func(c string) bool {
+		ctx, cancel := context.WithTimeout(n.life, n.Settings.Contact()/8)
+		defer cancel()
+		var out core.Suspected
+		err := n.Pool.Post(ctx, c, "/suspect", core.Suspicion{Node: name, Refused: refused}, nil, &out)
+		return err == nil && out.Steward
 	}
+	all := func() {
+		for _, c := range n.Cores() {
+			n.reports.Go(func() {
+				if tell(c) {
+					n.mu.Lock()
+					n.steward = c
+					n.mu.Unlock()
+				}
+			})
+		}
+	}
+	if steward == "" {
+		all()
+		return
+	}
+	n.reports.Go(func() {
+		if !tell(steward) {
+			n.mu.Lock()
+			n.steward = ""
+			n.mu.Unlock()
+			all()
+		}
+	})
 }
 
 // Report tells the steward which copies are in step.
