--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,8 +69,8 @@
 	kept      map[string]int64 // leavings on this disk: 1 draining, 2 gone
 
 	wake    chan struct{}
-	probing map[string]bool
-	life    context.Context // of what the core does on its own
+	probing map[string]time.Time // since when a node is asked whether it runs
+	life    context.Context      // of what the core does on its own
 	end     context.CancelFunc
 	tasks   sync.WaitGroup
 }
@@ -81,7 +81,7 @@
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
 		dead: map[string]time.Time{}, ready: map[int]stopped{}, inStep: map[Copy]bool{},
 		handing: map[string]bool{}, sentAt: map[string]time.Time{}, sent: map[string]map[string]journal.Version{}, kept: map[string]int64{},
-		wake: make(chan struct{}, 1), probing: map[string]bool{},
+		wake: make(chan struct{}, 1), probing: map[string]time.Time{},
 	}
 	c.life, c.end = context.WithCancel(context.Background())
 	life := rand.Text()
--- a/internal/core/steward.go
+++ b/internal/core/steward.go
@@ -30,11 +30,18 @@
 }
 
 // crowded tells whether more nodes are silent at once than may be lost: then it
-// is rather this core, or the network, that is slow.
+// is rather this core, or the network, that is slow. Those that were asked only
+// just now are not silent.
 func (c *Core) crowded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.probing) > int(c.set.FaultTolerance.HostFailures)
+	silent := 0
+	for _, since := range c.probing {
+		if time.Since(since) > c.contact/48 {
+			silent++
+		}
+	}
+	return silent > int(c.set.FaultTolerance.HostFailures)
 }
 
 // probe asks a node itself whether it runs. No answer makes it dead for as
@@ -47,11 +54,11 @@
 	}
 	c.mu.Lock()
 	_, known := c.dead[name]
-	if known || c.probing[name] {
+	if _, asked := c.probing[name]; known || asked {
 		c.mu.Unlock()
 		return
 	}
-	c.probing[name] = true
+	c.probing[name] = time.Now()
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
