A successor takes over what a store taken for dead has done before it delivers

Also, what a copy knew to have ended was taken over, but stayed on the schedule. Now the successor asks the former primary, which stops at once, and again when its leave has run out; and nothing is started that has ended.

--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -462,3 +462,44 @@
 		}
 	})
 }
+
+// A store that the cores cannot reach is taken for dead while it delivers: what
+// it has done must reach its successor before that one may deliver.
+func TestWhatADeposedPrimaryDidIsNotDoneAgain(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		cores, one := []string{"10.1.0.1", "10.2.0.1", "10.3.0.1"}, []string{"10.1.0.2"}
+		stop := make(chan struct{})
+		accepted := w.stream("/plain/", 4*time.Millisecond, stop)
+		time.Sleep(time.Second)
+		w.net.sever(cores, one, true)
+		w.net.sever(one, cores, true)
+		w.until(5*time.Second, "the store leads nothing", func() bool {
+			s, err := w.status()
+			leads := 0
+			for _, p := range s.Placement.Partitions {
+				if p.Primary == "store-z1" {
+					leads++
+				}
+			}
+			return err == nil && leads == 0
+		})
+		time.Sleep(2 * time.Second)
+		close(stop)
+		names := accepted()
+		for id, name := range names {
+			w.ended(name, "complete seal-"+id, 20*time.Second)
+		}
+		for id := range names {
+			if n := plain.count(id); n != 1 {
+				t.Errorf("%s ran %d times", id, n)
+				for _, d := range plain.all() {
+					if d.id == id {
+						t.Logf("%s: %v to %v at %s", names[id], d.at, d.ended, d.instance)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -315,6 +315,11 @@
 			next = min(next, contact/400)
 			continue
 		}
+		if !s.Set.Unended(it.record.Partition, it.record.ID) { // another copy knew how it ended
+			s.land(it)
+			s.close(it)
+			continue
+		}
 		route := table.Route(it.record.Host, it.record.Target)
 		if route == nil || it.record.Expires > 0 && it.record.Expires < s.Set.Now() {
 			s.land(it)
--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -310,8 +310,9 @@
 
 // Digest asks a copy what it holds.
 type Digest struct {
-	Number int   `json:"n"`
-	Epoch  int64 `json:"e"`
+	From   string `json:"from"`
+	Number int    `json:"n"`
+	Epoch  int64  `json:"e"`
 }
 
 // Digested lists it: the ids by state.
@@ -326,6 +327,10 @@
 	if in.Number < 0 || in.Number >= len(s.parts) {
 		return nil, moved(in.Number)
 	}
+	// The news may come later: whoever asks under a newer epoch leads it.
+	if p := s.parts[in.Number]; in.From != "" && p.epoch < in.Epoch && p.primary == s.Self {
+		s.turn(p, core.Partition{Epoch: in.Epoch, Primary: in.From})
+	}
 	out := &Digested{IDs: map[State][]string{}}
 	for id, r := range s.parts[in.Number].records {
 		out.IDs[r.State] = append(out.IDs[r.State], id)
@@ -333,8 +338,10 @@
 	return out, nil
 }
 
-// compare finds in what the copies of a partition differ and mends both.
-func (s *Set) compare(n int, epoch int64, backup string) {
+// compare finds in what the copies of a partition differ and mends both; of a
+// store that is no backup it only takes what it lacks. It tells whether the
+// other one answered.
+func (s *Set) compare(n int, epoch int64, backup string) bool {
 	s.mu.Lock()
 	p := s.parts[n]
 	addr := s.placement.Stores[backup].Address
@@ -342,9 +349,9 @@
 	ctx, cancel := context.WithTimeout(s.ctx, s.Contact/2)
 	defer cancel()
 	var out Digested
-	if err := s.Pool.Post(ctx, addr, "/digest", Digest{n, epoch}, nil, &out); err != nil {
+	if err := s.Pool.Post(ctx, addr, "/digest", Digest{s.Self, n, epoch}, nil, &out); err != nil {
 		s.Log.Printf("repair: partition %d: %v", n, err)
-		return
+		return false
 	}
 	theirs := map[string]State{}
 	for state, ids := range out.IDs {
@@ -354,33 +361,19 @@
 	}
 	var wanted []string
 	s.mu.Lock()
-	to := p.replica(backup)
-	if p.epoch != epoch || p.primary != s.Self || to == nil {
+	if p.epoch != epoch || p.primary != s.Self {
 		s.mu.Unlock()
-		return
+		return true
 	}
-	queued := map[string]bool{}
-	for _, id := range to.extra {
-		queued[id] = true
-	}
-	var pending, rest []string
-	for id, r := range p.records {
-		state, ok := theirs[id]
-		if (!ok || state < r.State) && !queued[id] && to.dirty[id] == nil {
-			if r.State == Complete {
-				rest = append(rest, id)
-			} else {
-				pending = append(pending, id)
-			}
-		}
+	more := 0
+	if to := p.replica(backup); to != nil {
+		more = p.lacking(to, theirs)
 	}
-	to.extra = append(append(to.extra, pending...), rest...)
 	for id, state := range theirs {
 		if r := p.records[id]; r == nil || r.State < state {
 			wanted = append(wanted, id)
 		}
 	}
-	more := len(pending) + len(rest)
 	s.wakeLink(backup)
 	s.mu.Unlock()
 	if more+len(wanted) > 0 {
@@ -391,6 +384,28 @@
 			s.Log.Printf("repair: partition %d: %v", n, err)
 		}
 	}
+	return true
+}
+
+// lacking puts on a backup's list what it does not have, pending messages first.
+func (p *part) lacking(to *replica, theirs map[string]State) int {
+	queued := map[string]bool{}
+	for _, id := range to.extra {
+		queued[id] = true
+	}
+	var pending, rest []string
+	for id, r := range p.records {
+		state, ok := theirs[id]
+		if (!ok || state < r.State) && !queued[id] && to.dirty[id] == nil {
+			if r.State == Complete {
+				rest = append(rest, id)
+			} else {
+				pending = append(pending, id)
+			}
+		}
+	}
+	to.extra = append(append(to.extra, pending...), rest...)
+	return len(pending) + len(rest)
 }
 
 // Fetch asks a copy for records.
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -263,7 +263,7 @@
 
 // turn changes the roles of a partition. The lock is held.
 func (s *Set) turn(p *part, x core.Partition) {
-	led := p.primary == s.Self
+	led, former := p.primary == s.Self, p.primary
 	p.epoch, p.primary, p.backs = x.Epoch, x.Primary, x.Backup(s.Self) >= 0
 	p.frozen, p.closed = false, false
 	s.fence[p.number] = p.epoch
@@ -300,6 +300,9 @@
 		}
 		slices.SortFunc(pending, func(a, b *Record) int { return cmp.Compare(a.Order, b.Order) })
 		s.emit(Event{Partition: p.number, Lead: true, Records: pending})
+		if _, known := s.placement.Stores[former]; known && x.Backup(former) < 0 {
+			s.succeed(p, former)
+		}
 	case leads: // with fewer backups a message may be certain now
 		for _, w := range p.waiting {
 			s.settle(p, w)
@@ -316,6 +319,23 @@
 	}
 }
 
+// succeed takes over from a primary that was taken for dead: if it runs, it is
+// told to stop, and what it has done comes here before this store may deliver.
+// The lock is held.
+func (s *Set) succeed(p *part, former string) {
+	n, epoch, granted := p.number, p.epoch, p.granted
+	s.tasks.Go(func() {
+		if !s.compare(n, epoch, former) {
+			return
+		}
+		select { // what was under way there has ended by then
+		case <-time.After(time.Until(granted) - s.Contact/40):
+			s.compare(n, epoch, former)
+		case <-s.ctx.Done():
+		}
+	})
+}
+
 // errors of an accept.
 func moved(n int) error {
 	return &wire.Status{Code: 421, Text: fmt.Sprintf("partition %d is not led here", n)}
@@ -469,6 +489,14 @@
 	return true
 }
 
+// Unended tells whether a message has not ended, as far as is known here.
+func (s *Set) Unended(n int, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.parts[n].records[id]
+	return r != nil && r.State == Pending
+}
+
 // Mark notes on disk that this store acts just now, for what its next life may
 // take as time in which it did not.
 func (s *Set) Mark() {
