A store measures its file only inside a transaction; reports end with their node

Cause: the size of a store's pages was asked of bbolt outside of a transaction. Where the writer mapped the file anew at that moment, the look at the map was a fault that ended the process (seen as 'unexpected fault address' in a run of the cluster tests; one run in eighteen). The race detector also saw reports of a node started while its end was awaited, and a test that swapped the file under its writer.

Ruled out: items of the registry that point into the map (all are copied).

Now: measured inside the transaction; a report starts under the lock that ends them. The test measures a file that grows and closes; it ends the process with the code before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,7 +130,9 @@
 	tasks.Go(func() { n.follower.Run(ctx) })
 	tasks.Go(func() { n.beat(ctx) })
 	tasks.Wait()
-	n.end()
+	n.mu.Lock()
+	n.end() // no report starts after this
+	n.mu.Unlock()
 	n.reports.Wait()
 }
 
@@ -180,7 +182,7 @@
 			watched = nil
 		}
 		for _, w := range watched {
-			n.reports.Go(func() {
+			n.report(func() {
 				bctx, cancel := context.WithTimeout(ctx, every*2)
 				defer cancel()
 				_ = n.Pool.Post(bctx, w, "/beat", self, nil, nil)
@@ -208,7 +210,7 @@
 	}
 	steward := n.steward
 	n.mu.Unlock()
-	if recent || n.life.Err() != nil {
+	if recent {
 		return
 	}
 	n.follower.Doubt()
@@ -221,7 +223,7 @@
 	}
 	all := func() {
 		for _, c := range n.Cores() {
-			n.reports.Go(func() {
+			n.report(func() {
 				if tell(c) {
 					n.mu.Lock()
 					n.steward = c
@@ -234,7 +236,7 @@
 		all()
 		return
 	}
-	n.reports.Go(func() {
+	n.report(func() {
 		if !tell(steward) {
 			n.mu.Lock()
 			n.steward = ""
@@ -244,6 +246,15 @@
 	})
 }
 
+// report starts a task of the node's own, unless the node has ended.
+func (n *Node) report(task func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life.Err() == nil {
+		n.reports.Go(task)
+	}
+}
+
 // Report tells the steward which copies are in step.
 func (n *Node) Report(ctx context.Context, in core.InStep) error {
 	n.mu.Lock()
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -118,15 +118,17 @@
 	return d, records, fence, nil
 }
 
-// used is the size of the file without its free pages.
+// used is the size of the file without its free pages. All of it is asked in a
+// transaction: outside of one the writer may be mapping the file anew, and a
+// look at the map ends the process.
 func (d *disk) used() int64 {
 	var size int64
 	_ = d.db.View(func(tx *bbolt.Tx) error {
-		size = tx.Size()
+		st := tx.DB().Stats()
+		size = tx.Size() - int64(st.FreePageN+st.PendingPageN)*int64(tx.DB().Info().PageSize)
 		return nil
 	})
-	st := d.db.Stats()
-	return size - int64(st.FreePageN+st.PendingPageN)*int64(d.db.Info().PageSize)
+	return size
 }
 
 func (d *disk) put(c change) {
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -1,13 +1,16 @@
 package partition
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log"
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -205,16 +208,41 @@
 			t.Errorf("%s: %v", what, err)
 		}
 	}
-	s := open(t)
-	real := s.disk.db
 	closed, err := core.OpenDisk(filepath.Join(t.TempDir(), "other.db"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	closed.Close()
-	s.disk.db = closed // refuses every write
-	if err := s.disk.commit([]change{{key: []byte("k")}}); err == nil {
+	d.db = closed // refuses every write
+	if err := d.commit([]change{{key: []byte("k")}}); err == nil {
 		t.Error("a refused write is not told")
 	}
-	s.disk.db = real
+}
+
+// A store measures its file while the writer grows it or closes it.
+func TestAFileIsMeasuredWhileItGrowsAndCloses(t *testing.T) {
+	d, _, _, err := openDisk(t.TempDir(), t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for i := range 64 {
+			value := bytes.Repeat([]byte{byte(i)}, 64<<10)
+			if err := d.commit([]change{{key: key(0, strconv.Itoa(i)), value: value}}); err != nil {
+				t.Error(err)
+			}
+		}
+		cancel()
+		_ = d.run(ctx, time.Millisecond, t.Logf)
+	})
+	most := int64(0)
+	for ctx.Err() == nil {
+		most = max(most, d.used())
+	}
+	tasks.Wait()
+	if most < 1<<20 || d.used() != 0 {
+		t.Errorf("at most %d bytes were seen in use, %d after the end", most, d.used())
+	}
 }
