A copy answers for a message only once its own disk has it, whoever asks

Cause (found by reading, shown by a test): a copy answered a batch without records at once. Where an earlier batch still waited for a disk that hung, and the primary changed meanwhile, the next primary was told by the digest that all copies hold the message, and a client that asked again got its 202 while fewer than f+1 disks had it. The primary's own disk was not awaited either in that case.

Now: both wait for what is queued and under way; where nothing waits the answer is immediate, and no transaction of its own is made for it. Ruled out: cost on a quiet disk (no wait, no sync).

--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -251,7 +251,6 @@
 func (s *Set) HandleCopy(ctx context.Context, b *Batch, raw []byte) (*Copied, error) {
 	out := &Copied{}
 	done := make(chan struct{})
-	wrote := false
 	s.mu.Lock()
 	for _, x := range b.Parts {
 		bodies := 0
@@ -276,7 +275,6 @@
 			out.Parts = append(out.Parts, CopiedShare{Number: x.Number, Stale: true})
 			continue
 		}
-		wrote = wrote || len(x.Records) > 0
 		for _, r := range x.Records {
 			r.Partition = p.number
 			r.shift(s.Now() - b.Now)
@@ -294,11 +292,9 @@
 		}
 		out.Parts = append(out.Parts, CopiedShare{Number: p.number, Digest: p.digest, Count: p.count})
 	}
-	if wrote { // all that was queued before is on disk with this
-		s.disk.put(change{done: func() { close(done) }})
-	} else {
-		close(done)
-	}
+	// Also what came with an earlier batch, or from another primary: the digest
+	// tells of it, and a message that a digest shows may be answered with 202.
+	s.disk.synced(func() { close(done) })
 	s.mu.Unlock()
 	select {
 	case <-done:
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	queue   []change
 	wake    chan struct{}
+	busy    bool          // a batch is taken and not yet on disk
+	after   []func()      // to be called once it is
 	began   time.Time     // of the write under way; zero if there is none
 	usual   time.Duration // smoothed time of a write
 	refused error         // of the last write, if the disk did not take it
@@ -141,6 +143,21 @@
 	}
 }
 
+// synced calls done once all that was put before is on disk: at once where
+// nothing waits.
+func (d *disk) synced(done func()) {
+	d.mu.Lock()
+	switch {
+	case len(d.queue) > 0:
+		d.queue = append(d.queue, change{done: done})
+	case d.busy:
+		d.after = append(d.after, done)
+	default:
+		defer done()
+	}
+	d.mu.Unlock()
+}
+
 // refuses tells whether the last write was refused, as by a full disk.
 func (d *disk) refuses() bool {
 	d.mu.Lock()
@@ -174,7 +191,7 @@
 	for {
 		d.mu.Lock()
 		batch := d.queue
-		d.queue = nil
+		d.queue, d.busy = nil, len(batch) > 0
 		d.mu.Unlock()
 		if len(batch) == 0 {
 			select {
@@ -201,13 +218,17 @@
 		if d.refused != nil {
 			warn("disk: writes again")
 		}
-		d.refused = nil
+		after := d.after
+		d.refused, d.busy, d.after = nil, false, nil
 		d.mu.Unlock()
 		for _, c := range batch {
 			if c.done != nil {
 				c.done()
 			}
 		}
+		for _, done := range after {
+			done()
+		}
 	}
 }
 
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -79,6 +79,35 @@
 	}
 }
 
+// What a digest shows may be answered with 202, so a copy that has it in memory
+// only says nothing until its disk has it, whoever asks.
+func TestACopyAnswersOnlyForWhatIsOnDisk(t *testing.T) {
+	s := open(t)
+	tx, err := s.disk.db.Begin(true) // the disk hangs
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := func(b *Batch) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err := s.HandleCopy(ctx, b, nil)
+		return err
+	}
+	if copied(&Batch{From: "other", Parts: []Share{{Epoch: 5, Records: []*Record{{ID: "x", Epoch: 5, Sequence: 1}}}}}) == nil {
+		t.Error("a message is said to be on a disk that hangs")
+	}
+	next := &Batch{From: "third", Parts: []Share{{Epoch: 6}}}
+	if copied(next) == nil {
+		t.Error("the next primary is told of a message that is on no disk here")
+	}
+	if err := tx.Rollback(); err != nil {
+		t.Fatal(err)
+	}
+	if err := copied(next); err != nil {
+		t.Errorf("the disk works again: %v", err)
+	}
+}
+
 func TestTimesFollowTheClockOfTheCopy(t *testing.T) {
 	s := open(t)
 	hour := time.Hour.Milliseconds()
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -381,12 +381,15 @@
 		w := p.waiting[r.ID]
 		if p.records[r.ID] != nil && w == nil { // taken before
 			certain := len(p.replicas) >= s.Backups && p.verified()
-			s.mu.Unlock()
-			if certain {
-				return nil
+			here := make(chan struct{})
+			if certain { // but it may not be on this disk yet
+				s.disk.synced(func() { close(here) })
 			}
+			s.mu.Unlock()
 			logged = true
 			select { // until the backups are seen to hold it too
+			case <-here:
+				return nil
 			case <-time.After(s.Contact / 200):
 				continue
 			case <-ctx.Done():
