The chain, the delivery and the partition set in files of one concern each

Moved only, behaviour unchanged: views and disk of the chain; queues and targets of the delivery; accepting, repair and handover of the partitions.

--- /dev/null
+++ b/internal/chain/view.go
@@ -0,0 +1,399 @@
+package chain
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"saltreel/internal/ballot"
+	"saltreel/internal/wire"
+)
+
+// Member is one disk in one machine. A machine that lost its disk, or that came
+// empty at another address, is another member.
+type Member struct {
+	Address string `json:"address"` // internal
+	Disk    string `json:"disk"`
+	// Since is the view from which on it has been a member without a gap.
+	Since int64 `json:"since,omitempty"`
+}
+
+func (m Member) is(o Member) bool { return m.Address == o.Address && m.Disk == o.Disk }
+
+// founder is the disk of those that found the first view: all know it then
+// without having spoken.
+const founder = "founder"
+
+// View is the numbered order of the members, and who votes on the next view.
+type View struct {
+	Number  int64    `json:"number"`
+	Members []Member `json:"members"` // the head first; all of them are voters
+	Voters  []Member `json:"voters"`
+}
+
+func (v View) at(who Member) int { return slices.IndexFunc(v.Members, who.is) }
+
+func (v View) votes(who Member) bool { return slices.ContainsFunc(v.Voters, who.is) }
+
+// next is the successor of a member; false for the tail.
+func (v View) next(who Member) (Member, bool) {
+	if i := v.at(who); i >= 0 && i+1 < len(v.Members) {
+		return v.Members[i+1], true
+	}
+	return Member{}, false
+}
+
+func (v View) String() string {
+	names := func(list []Member) (out []string) {
+		for _, m := range list {
+			out = append(out, m.Address)
+		}
+		return out
+	}
+	return fmt.Sprintf("%d: %v, voters %v", v.Number, names(v.Members), names(v.Voters))
+}
+
+// Standing tells what a core knows of the view.
+type Standing struct {
+	View  View `json:"view"`
+	Next  bool `json:"next"`  // a value for the view after this one was accepted here
+	Whole bool `json:"whole"` // holds everything that was ever acknowledged
+	Ready bool `json:"ready"` // knows what a voter must know
+}
+
+// Query asks a core where it stands. It carries the newest view that the
+// asker knows, so that views spread with the questions.
+type Query struct {
+	Disk string `json:"disk"` // of the one asked; the answer of another disk does not count
+	View View   `json:"view"`
+}
+
+// HandleStanding tells what is known here.
+func (c *Chain) HandleStanding(ctx context.Context, q *Query, _ []byte) (*Standing, error) {
+	if err := c.mine(q.Disk); err != nil {
+		return nil, err
+	}
+	if err := c.adopt(ctx, q.View); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	if c.refused != nil { // whether the disk works again
+		c.refused = c.db.Update(c.saveView)
+	}
+	view, whole, refused := c.view, c.whole == c.view.Number, c.refused
+	c.mu.Unlock()
+	if refused != nil {
+		return nil, &wire.Status{Code: 503, Text: "the disk refuses writes: " + refused.Error()}
+	}
+	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, c.Ready()}, nil
+}
+
+// mine refuses what is meant for another disk at this address.
+func (c *Chain) mine(disk string) error {
+	if disk != c.Self.Disk {
+		return &wire.Status{Code: 409, Text: fmt.Sprintf("the disk here is %s, not %s", c.Self.Disk, disk)}
+	}
+	return nil
+}
+
+// standing asks one core.
+func (c *Chain) standing(ctx context.Context, who Member, view View) (*Standing, error) {
+	q := Query{who.Disk, view}
+	if who.is(c.Self) {
+		return c.HandleStanding(ctx, &q, nil)
+	}
+	s := &Standing{}
+	return s, c.Pool.Post(ctx, who.Address, "/chain/standing", q, nil, s)
+}
+
+// Ballot is a step of a ballot for one voter.
+type Ballot struct {
+	Disk string      `json:"disk"`
+	Call ballot.Call `json:"call"`
+}
+
+// HandleBallot votes on a view.
+func (c *Chain) HandleBallot(_ context.Context, b *Ballot, _ []byte) (*ballot.Reply, error) {
+	if err := c.mine(b.Disk); err != nil {
+		return nil, err
+	}
+	if n := c.View().Number; b.Call.Decree <= n {
+		return nil, &wire.Status{Code: 409, Text: fmt.Sprintf("view %d is settled", n)}
+	}
+	r, err := c.Voter.Handle(b.Call)
+	return &r, err
+}
+
+// adopt takes a chosen view over and puts it on disk.
+func (c *Chain) adopt(ctx context.Context, v View) error {
+	if v.Number <= c.View().Number {
+		return nil
+	}
+	if err := c.lock(ctx); err != nil {
+		return err
+	}
+	defer c.unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v.Number <= c.view.Number {
+		return nil
+	}
+	view, whole := c.view, c.whole
+	c.enter(v)
+	if err := c.db.Update(c.saveView); err != nil {
+		c.view, c.whole, c.refused = view, whole, err // what is not on disk is not sealed
+		return fmt.Errorf("write the view: %w", err)
+	}
+	return nil
+}
+
+// Tend keeps the chain whole until ctx ends: the head sends signs of life down
+// it, and whoever misses a neighbour calls for a new view.
+func (c *Chain) Tend(ctx context.Context) {
+	started, mended := time.Now(), time.Time{}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		c.mu.Lock()
+		next := c.Contact / 16
+		if !c.active { // those that follow may start at any moment
+			next = c.Contact / 80
+		}
+		c.mu.Unlock()
+		timer.Reset(next)
+		view := c.View()
+		head := view.at(c.Self) == 0
+		if head {
+			err := c.Propose(ctx, func(Documents) (Documents, error) { return nil, nil })
+			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
+				c.Log.Printf("chain: sign of life: %v", err)
+			}
+		}
+		c.mu.Lock()
+		quiet := time.Since(c.touched) > c.Contact/4
+		c.mu.Unlock()
+		if time.Since(started) < c.Contact/8 || time.Since(mended) < c.Contact/16 {
+			continue
+		}
+		// A ballot that somebody began must come to an end: until then no
+		// majority can say that this view is the newest.
+		begun := c.Voter.Accepted(view.Number + 1)
+		if quiet || begun || head && (len(view.Members) < len(view.Voters) || len(c.outside(view)) > 0) {
+			mended = time.Now()
+			c.mend(ctx, view)
+		}
+	}
+}
+
+// outside are the cores heard of that have no vote.
+func (c *Chain) outside(view View) []Member {
+	return slices.DeleteFunc(c.Others(), view.votes)
+}
+
+// mend asks all cores where they stand and calls a ballot for the view that
+// follows from the answers.
+func (c *Chain) mend(ctx context.Context, view View) {
+	sctx, cancel := context.WithTimeout(ctx, c.Contact/16)
+	defer cancel()
+	type answer struct {
+		who Member
+		s   *Standing
+		err error
+	}
+	asked := append(slices.Clone(view.Voters), c.outside(view)...)
+	got := make(chan answer, len(asked))
+	for _, who := range asked {
+		go func() {
+			s, err := c.standing(sctx, who, view)
+			if err != nil {
+				s = nil
+			}
+			got <- answer{who, s, err}
+		}()
+	}
+	answers := map[Member]*Standing{}
+	newest := view
+	now := time.Now()
+	for range asked {
+		a := <-got
+		who := Member{Address: a.who.Address, Disk: a.who.Disk}
+		if wire.StatusOf(a.err) == 409 && !c.strangers[who] {
+			c.strangers[who] = true
+			c.Log.Printf("chain: %s is not what it was: %v", who.Address, a.err)
+		}
+		if a.s != nil {
+			answers[who] = a.s
+			c.answered[who] = now
+			if a.s.View.Number > newest.Number {
+				newest = a.s.View
+			}
+		}
+	}
+	if newest.Number > view.Number {
+		if err := c.adopt(ctx, newest); err != nil {
+			c.Log.Printf("chain: adopt view %d: %v", newest.Number, err)
+		}
+		return
+	}
+	if view.at(c.Self) < 0 {
+		return
+	}
+	c.mu.Lock()
+	works := c.active && time.Since(c.touched) <= c.Contact/4
+	c.mu.Unlock()
+	next, ok := c.successor(view, works, answers)
+	begun := c.Voter.Accepted(next.Number)
+	if !ok || slices.Equal(next.Members, view.Members) && slices.Equal(next.Voters, view.Voters) && !begun {
+		return
+	}
+	if i := next.at(c.Self); i > 0 {
+		// The first member alive goes first; the others follow after a while.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(c.Contact / 16 * time.Duration(i)):
+		}
+	}
+	c.choose(ctx, view, next)
+}
+
+// successor is the view that is to follow, from what the cores answered. It is
+// not ok when too few answered for one that is safe.
+func (c *Chain) successor(view View, works bool, answers map[Member]*Standing) (next View, ok bool) {
+	of := func(m Member) *Standing { m.Since = 0; return answers[m] }
+	next = View{Number: view.Number + 1, Voters: slices.Clone(view.Voters)}
+	// Those that hold everything go first; among them the order stays, so that
+	// the new head holds all that any of them does.
+	var behind []Member
+	for _, m := range view.Members {
+		if s := of(m); s != nil && s.Whole {
+			next.Members = append(next.Members, m)
+		} else if s != nil {
+			behind = append(behind, m)
+		}
+	}
+	if len(next.Members) == 0 {
+		return next, false
+	}
+	next.Members = append(next.Members, behind...)
+	if next.at(c.Self) < 0 {
+		return next, false
+	}
+	join := func(m Member) {
+		m.Since = next.Number
+		next.Members = append(next.Members, m)
+	}
+	joined := false
+	for _, v := range view.Voters {
+		// One at a time joins a view that works; a broken one takes all it can get.
+		if of(v) != nil && view.at(v) < 0 && (!joined && works || !works && len(next.Members)*2 <= len(next.Voters)) {
+			join(v)
+			joined = true
+		}
+	}
+	if works && !joined && len(next.Members) == len(view.Members) {
+		c.changeVoters(view, &next, of, join)
+	}
+	return next, len(next.Members)*2 > len(next.Voters)
+}
+
+// changeVoters lets one more core vote, in place of one that is lost where
+// there is one, or takes the vote of a lost one that is not needed.
+func (c *Chain) changeVoters(view View, next *View, of func(Member) *Standing, join func(Member)) {
+	lost := func(v Member) bool {
+		v.Since = 0
+		at, heard := c.answered[v]
+		if !heard { // nobody was asked before
+			c.answered[v] = time.Now()
+		}
+		return of(v) == nil && heard && time.Since(at) > c.Contact/2
+	}
+	for _, m := range c.outside(view) {
+		s := of(m)
+		if s == nil || !s.Ready {
+			continue
+		}
+		m.Since = 0
+		at := slices.IndexFunc(next.Voters, func(v Member) bool { return v.Address == m.Address })
+		if at < 0 {
+			at = slices.IndexFunc(next.Voters, lost)
+		}
+		if at >= 0 && next.at(next.Voters[at]) < 0 {
+			next.Voters[at] = m
+		} else {
+			next.Voters = append(next.Voters, m)
+		}
+		join(m)
+		return
+	}
+	if len(next.Voters) > 2*c.Losses+1 {
+		if at := slices.IndexFunc(next.Voters, lost); at >= 0 && next.at(next.Voters[at]) < 0 {
+			next.Voters = slices.Delete(next.Voters, at, at+1)
+		}
+	}
+}
+
+// choose settles the view after this one by a ballot of its voters.
+func (c *Chain) choose(ctx context.Context, view, next View) {
+	value, _ := json.Marshal(next)
+	bctx, cancel := context.WithTimeout(ctx, c.Contact/4)
+	defer cancel()
+	disks := map[string]string{}
+	var voters []string
+	for _, v := range view.Voters {
+		disks[v.Address] = v.Disk
+		voters = append(voters, v.Address)
+	}
+	chosen, err := ballot.Choose(bctx, next.Number, c.Self.Address+"/"+crand.Text(), 1, value, voters, func(ctx context.Context, voter string, b ballot.Call) (r ballot.Reply, err error) {
+		call := Ballot{disks[voter], b}
+		if voter == c.Self.Address {
+			mine, err := c.HandleBallot(ctx, &call, nil)
+			if err != nil {
+				return r, err
+			}
+			return *mine, nil
+		}
+		err = c.Pool.Post(ctx, voter, "/ballot", call, nil, &r)
+		return r, err
+	})
+	if err != nil {
+		c.Log.Printf("chain: ballot for view %d: %v", next.Number, err)
+		return
+	}
+	var v View
+	if err := json.Unmarshal(chosen, &v); err != nil {
+		c.Log.Printf("chain: ballot for view %d: %v", next.Number, err)
+		return
+	}
+	if err := c.adopt(ctx, v); err != nil {
+		c.Log.Printf("chain: adopt view %d: %v", v.Number, err)
+		return
+	}
+	// Tell the others; those that miss it learn it from the first pass.
+	tctx, cancel2 := context.WithTimeout(ctx, c.Contact/16)
+	defer cancel2()
+	var told sync.WaitGroup
+	for _, m := range v.Voters {
+		if !m.is(c.Self) {
+			told.Go(func() { _ = c.Pool.Post(tctx, m.Address, "/chain/adopt", v, nil, nil) })
+		}
+	}
+	told.Wait()
+}
+
+// HandleAdopt takes news of a chosen view.
+func (c *Chain) HandleAdopt(ctx context.Context, v *View, _ []byte) (*struct{}, error) {
+	return &struct{}{}, c.adopt(ctx, *v)
+}
+
+// Adopt takes over a view that a peer knows.
+func (c *Chain) Adopt(ctx context.Context, v View) error { return c.adopt(ctx, v) }
--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -5,19 +5,14 @@
 import (
 	"container/heap"
 	"context"
-	"encoding/json"
 	"log"
-	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
 	"saltreel/internal/configuration"
 	"saltreel/internal/handler"
-	"saltreel/internal/journal"
 	"saltreel/internal/partition"
 	"saltreel/internal/quota"
-	"saltreel/internal/relay"
 	"saltreel/internal/settings"
 	"saltreel/internal/wire"
 )
@@ -71,30 +66,6 @@
 	patience time.Time // from then on it goes before all others
 }
 
-// service is the queue of one service.
-type service struct {
-	name   string
-	later  timeHeap
-	ready  readyHeap // may still start in time
-	late   lateHeap  // cannot any more: after those that can, oldest first
-	tokens float64
-	filled time.Time
-	paced  bool
-	bad    float64 // smoothed share of attempts that came to nothing
-}
-
-// target is one handler, or the fixed endpoint of a service.
-type target struct {
-	handler.Instance
-	fixed    bool
-	busy     int
-	failures int
-	shut     time.Time // no deliveries until then
-	trial    bool      // one delivery at a time until one succeeds
-	bad      float64   // smoothed share of attempts that came to nothing
-	warm     time.Time // slow until then
-}
-
 // Init makes the maps; it is called once.
 func (s *Scheduler) Init() {
 	s.services, s.targets, s.parts = map[string]*service{}, map[string]map[string]*target{}, map[int]*part{}
@@ -121,40 +92,6 @@
 	s.flight.Unlock()
 }
 
-// Hear takes news of handlers.
-func (s *Scheduler) Hear(e journal.Event) {
-	id, ok := strings.CutPrefix(e.Key, relay.PrefixInstance)
-	if !ok {
-		s.nudge()
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var in handler.Instance
-	if !e.Gone() && json.Unmarshal(e.Value, &in) != nil {
-		return
-	}
-	for name, list := range s.targets {
-		if t := list[id]; t != nil && (e.Gone() || name != in.Service || in.State != handler.Ready) {
-			delete(list, id)
-			s.Pool.Forget(t.Address)
-		}
-	}
-	if !e.Gone() && in.State == handler.Ready {
-		list := s.targets[in.Service]
-		if list == nil {
-			list = map[string]*target{}
-			s.targets[in.Service] = list
-		}
-		if t := list[id]; t != nil {
-			t.Instance = in
-		} else {
-			list[id] = &target{Instance: in, warm: time.Now().Add(time.Duration(in.WarmupMs) * time.Millisecond)}
-		}
-	}
-	s.nudge()
-}
-
 // Run schedules until ctx ends, then waits for the deliveries under way.
 func (s *Scheduler) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -378,25 +315,6 @@
 	return next
 }
 
-// next takes the item that is to start first. A backlog of items that are late
-// in any case does not make the fresh ones late too, unless it waited for long.
-func (svc *service) next(now time.Time) *item {
-	if len(svc.late) > 0 && now.After(svc.late[0].patience) {
-		return heap.Pop(&svc.late).(*item)
-	}
-	for len(svc.ready) > 0 {
-		it := heap.Pop(&svc.ready).(*item)
-		if it.ended || !now.After(it.target) {
-			return it
-		}
-		heap.Push(&svc.late, it)
-	}
-	if len(svc.late) > 0 {
-		return heap.Pop(&svc.late).(*item)
-	}
-	return nil
-}
-
 // mayFly counts a delivery as under way if it may start; land counts it off.
 func (s *Scheduler) mayFly(it *item) bool {
 	s.fly(it.record.Partition, 1)
@@ -424,81 +342,6 @@
 	return true
 }
 
-// choose finds the handler for an item: the least busy one, own zone first. If
-// there is none now, it tells how long to wait.
-func (s *Scheduler) choose(svc *service, conf *configuration.Service, it *item, now time.Time) (*target, time.Duration) {
-	contact := s.Settings.Contact()
-	list := s.targets[svc.name]
-	if conf.StaticEndpoint != "" {
-		if list == nil {
-			list = map[string]*target{}
-			s.targets[svc.name] = list
-		}
-		t := list[conf.StaticEndpoint]
-		if t == nil {
-			t = &target{Instance: handler.Instance{Address: conf.StaticEndpoint, Service: svc.name}, fixed: true}
-			t.Slots = max(1, int(conf.MaxConnections)*2/3)
-			list[conf.StaticEndpoint] = t
-		}
-	}
-	var best *target
-	bestScore := 0.0
-	wait := contact / 16
-	near := false
-	for _, t := range list {
-		if !t.fixed && t.Zone == s.Settings.Zone && !now.Before(t.shut) && !t.trial {
-			near = true
-		}
-	}
-	for _, t := range list {
-		if t.fixed != (conf.StaticEndpoint != "") {
-			continue
-		}
-		if now.Before(t.shut) {
-			wait = min(wait, t.shut.Sub(now))
-			continue
-		}
-		limit := max(1, t.Slots)
-		far := !t.fixed && t.Zone != s.Settings.Zone
-		if far && near {
-			limit = max(1, limit/2)
-		}
-		if t.trial {
-			limit = 1
-		}
-		if t.busy >= limit {
-			continue
-		}
-		score := float64(t.busy) / float64(limit)
-		if far {
-			if near && now.Sub(it.since) < contact/40 {
-				wait = min(wait, contact/100)
-				continue
-			}
-			score += 2
-			if s.Settings.Zones[t.Zone] != s.Settings.Region {
-				score++
-			}
-		}
-		if t.ID != "" && t.ID == it.last {
-			score += 4 // rather another than the one that failed
-		}
-		if now.Before(t.warm) {
-			score += 0.5
-		}
-		if t.trial {
-			score += 1
-		}
-		// One that often fails is left to those for whom there is no other.
-		score += 4 * max(0, t.bad-ordinary)
-		score += rand.Float64() / 8
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
-	}
-	return best, wait
-}
-
 // attempt makes one delivery and draws the consequences.
 func (s *Scheduler) attempt(ctx context.Context, it *item, t *target, route *configuration.Route) {
 	r := it.record
@@ -548,60 +391,6 @@
 	s.enqueue(it)
 }
 
-// ordinary is the share of attempts that come to nothing without any trouble.
-const ordinary = 0.1
-
-// judge keeps away from a handler that fails. What it says of its health does
-// not count: what becomes of deliveries does.
-func (s *Scheduler) judge(t *target, svc *service, o handler.Outcome, now time.Time) {
-	contact := s.Settings.Contact()
-	if o != handler.NotRun {
-		failed := 0.0
-		if o != handler.Done && o != handler.Refused {
-			failed = 1
-		}
-		t.bad += (failed - t.bad) / 8
-		svc.bad += (failed - svc.bad) / 16
-	}
-	shut := func(base time.Duration) {
-		t.failures++
-		d := min(contact/8, base<<min(t.failures-1, 6))
-		t.shut = now.Add(d*3/4 + rand.N(d/2))
-		t.trial = true
-	}
-	switch o {
-	case handler.Done, handler.Refused, handler.Failed:
-		t.failures, t.trial = 0, false
-	case handler.NotRun:
-		t.shut = now.Add(contact/200 + rand.N(contact/200)) // full for a moment
-	case handler.Wrong: // another one has its address: it lives no more
-		if list := s.targets[svc.name]; list[t.ID] == t {
-			delete(list, t.ID)
-		}
-	case handler.Silent:
-		s.Pool.Forget(t.Address) // its connections may hang
-		shut(contact / 40)
-	case handler.Unclear:
-		if t.failures++; t.failures > 1 {
-			shut(contact / 80)
-		}
-	}
-}
-
-// backoff is the pause before an item is tried again.
-func (s *Scheduler) backoff(it *item, o handler.Outcome, route *configuration.Route) time.Duration {
-	base := s.Settings.Contact() / 200
-	if o == handler.Failed && it.attempts+1 >= int(route.MaxAttempts) && it.service.bad > 2*ordinary {
-		// The last attempt of a message is not spent on a service in trouble.
-		base = s.Settings.Contact() / 2
-		return base/2 + rand.N(base)
-	}
-	if o == handler.Failed || o == handler.Unclear || o == handler.Silent {
-		base <<= min(it.tries-1, 4)
-	}
-	return base/2 + rand.N(base)
-}
-
 // Pending tells how many messages wait here.
 func (s *Scheduler) Pending() int {
 	s.mu.Lock()
@@ -612,40 +401,3 @@
 	}
 	return n
 }
-
-type timeHeap []*item
-
-func (h timeHeap) Len() int           { return len(h) }
-func (h timeHeap) Less(i, j int) bool { return h[i].due.Before(h[j].due) }
-func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timeHeap) Push(x any)        { *h = append(*h, x.(*item)) }
-func (h *timeHeap) Pop() any          { return pop((*[]*item)(h)) }
-
-type readyHeap []*item
-
-func (h readyHeap) Len() int { return len(h) }
-func (h readyHeap) Less(i, j int) bool {
-	if h[i].priority != h[j].priority {
-		return h[i].priority < h[j].priority
-	}
-	return h[i].target.Before(h[j].target)
-}
-func (h readyHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *readyHeap) Push(x any)   { *h = append(*h, x.(*item)) }
-func (h *readyHeap) Pop() any     { return pop((*[]*item)(h)) }
-
-type lateHeap []*item
-
-func (h lateHeap) Len() int           { return len(h) }
-func (h lateHeap) Less(i, j int) bool { return h[i].since.Before(h[j].since) }
-func (h lateHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *lateHeap) Push(x any)        { *h = append(*h, x.(*item)) }
-func (h *lateHeap) Pop() any          { return pop((*[]*item)(h)) }
-
-func pop(h *[]*item) *item {
-	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return it
-}
--- /dev/null
+++ b/internal/partition/handover.go
@@ -0,0 +1,98 @@
+package partition
+
+import (
+	"context"
+	"time"
+)
+
+// Freeze stops the deliveries of partitions, waits until those under way have
+// ended, stops taking messages, and gives back the partitions whose backups
+// hold everything. If no new placement comes, all goes on as before.
+func (s *Set) Freeze(ctx context.Context, want map[int]int64, idle func(n int) bool) map[int]int64 {
+	out := map[int]int64{}
+	s.mu.Lock()
+	for n, epoch := range want {
+		if n < len(s.parts) && s.parts[n].epoch == epoch && s.parts[n].primary == s.Self {
+			s.parts[n].frozen = true
+		} else {
+			delete(want, n)
+		}
+	}
+	s.mu.Unlock()
+	step := s.Contact / 800
+	for len(want) > 0 && ctx.Err() == nil {
+		s.mu.Lock()
+		for n, epoch := range want {
+			p := s.parts[n]
+			switch {
+			case p.epoch != epoch:
+				delete(want, n)
+			case !p.closed && idle(n):
+				p.closed = true
+				for _, r := range p.replicas {
+					s.wakeLink(r.store)
+				}
+			case p.closed && p.given():
+				out[n] = epoch
+				delete(want, n)
+			}
+		}
+		s.mu.Unlock()
+		if len(want) == 0 || len(out) > 0 && len(want) > 0 && s.patience(want) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(step):
+		}
+	}
+	s.thaw(out, s.Contact/4) // longer than the steward relies on it
+	s.thaw(want, 0)
+	return out
+}
+
+// given tells whether all backups that may succeed hold everything and took
+// the lease back. One that answered may be in step by now, though the news of
+// it are still on their way here.
+func (p *part) given() bool {
+	for _, r := range p.replicas {
+		if r.mayLead() && (len(r.dirty) > 0 || !r.released) {
+			return false
+		}
+	}
+	return true
+}
+
+// patience tells whether what is left is far from ready: some deliveries take
+// long, and the partitions that are ready do not wait for them.
+func (s *Set) patience(want map[int]int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range want {
+		if s.parts[n].closed {
+			return false
+		}
+	}
+	return true
+}
+
+// thaw lets partitions go on that are still led here after a while.
+func (s *Set) thaw(list map[int]int64, after time.Duration) {
+	if len(list) == 0 {
+		return
+	}
+	time.AfterFunc(after, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for n, epoch := range list {
+			if p := s.parts[n]; p.epoch == epoch && p.frozen {
+				p.frozen, p.closed = false, false
+				for _, r := range p.replicas {
+					r.released = false
+				}
+				close(p.moved)
+				p.moved = make(chan struct{})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/partition/repair.go
@@ -0,0 +1,191 @@
+package partition
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"saltreel/internal/core"
+	"saltreel/internal/wire"
+)
+
+// Digest asks a copy what it holds.
+type Digest struct {
+	From   string `json:"from"`
+	Number int    `json:"n"`
+	Epoch  int64  `json:"e"`
+}
+
+// Digested lists it: the ids by state.
+type Digested struct {
+	IDs map[State][]string `json:"ids"`
+}
+
+// HandleDigest tells what is held here of a partition.
+func (s *Set) HandleDigest(_ context.Context, in *Digest, _ []byte) (*Digested, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.Number < 0 || in.Number >= len(s.parts) {
+		return nil, moved(in.Number)
+	}
+	// The news may come later: whoever asks under a newer epoch leads it.
+	if p := s.parts[in.Number]; in.From != "" && p.epoch < in.Epoch && p.primary == s.Self {
+		s.turn(p, core.Partition{Epoch: in.Epoch, Primary: in.From})
+	}
+	out := &Digested{IDs: map[State][]string{}}
+	for id, r := range s.parts[in.Number].records {
+		out.IDs[r.State] = append(out.IDs[r.State], id)
+	}
+	return out, nil
+}
+
+// compare finds in what the copies of a partition differ and mends both; of a
+// store that is no backup it only takes what it lacks. It tells whether the
+// other one answered.
+func (s *Set) compare(n int, epoch int64, backup string) bool {
+	s.mu.Lock()
+	p := s.parts[n]
+	addr := s.placement.Stores[backup].Address
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, s.Contact/2)
+	defer cancel()
+	var out Digested
+	if err := s.Pool.Post(ctx, addr, "/digest", Digest{s.Self, n, epoch}, nil, &out); err != nil {
+		s.Log.Printf("repair: partition %d: %v", n, err)
+		return false
+	}
+	theirs := map[string]State{}
+	for state, ids := range out.IDs {
+		for _, id := range ids {
+			theirs[id] = state
+		}
+	}
+	var wanted []string
+	s.mu.Lock()
+	if p.epoch != epoch || p.primary != s.Self {
+		s.mu.Unlock()
+		return true
+	}
+	more := 0
+	if to := p.replica(backup); to != nil {
+		more = p.lacking(to, theirs)
+	}
+	for id, state := range theirs {
+		if r := p.records[id]; r == nil || r.State < state {
+			wanted = append(wanted, id)
+		}
+	}
+	s.wakeLink(backup)
+	s.mu.Unlock()
+	if more+len(wanted) > 0 {
+		s.Log.Printf("repair: partition %d: %d records to %s, %d from it", n, more, backup, len(wanted))
+	}
+	if len(wanted) > 0 {
+		if err := s.fetch(ctx, n, backup, wanted); err != nil {
+			s.Log.Printf("repair: partition %d: %v", n, err)
+		}
+	}
+	return true
+}
+
+// lacking puts on a backup's list what it does not have, pending messages first.
+func (p *part) lacking(to *replica, theirs map[string]State) int {
+	queued := map[string]bool{}
+	for _, id := range to.extra {
+		queued[id] = true
+	}
+	var pending, rest []string
+	for id, r := range p.records {
+		state, ok := theirs[id]
+		if (!ok || state < r.State) && !queued[id] && to.dirty[id] == nil {
+			if r.State == Complete {
+				rest = append(rest, id)
+			} else {
+				pending = append(pending, id)
+			}
+		}
+	}
+	to.extra = append(append(to.extra, pending...), rest...)
+	return len(pending) + len(rest)
+}
+
+// Fetch asks a copy for records.
+type Fetch struct {
+	Number int      `json:"n"`
+	IDs    []string `json:"ids"`
+}
+
+// HandleFetch gives the records asked for, as one share with bodies.
+func (s *Set) HandleFetch(_ context.Context, r *wire.Request) *wire.Response {
+	var in Fetch
+	if err := json.Unmarshal(r.Body, &in); err != nil {
+		return wire.Problem(400, err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in.Number < 0 || in.Number >= len(s.parts) {
+		return wire.Problem(421, "no such partition here")
+	}
+	sh := Share{Number: in.Number, Now: s.Now()}
+	var raw []byte
+	for _, id := range in.IDs {
+		if x := s.parts[in.Number].records[id]; x != nil && len(raw) < 4*batchBytes {
+			sh.Records = append(sh.Records, x)
+			raw = append(raw, x.Body...)
+		}
+	}
+	front, err := json.Marshal(sh)
+	if err != nil {
+		return wire.Problem(500, err.Error())
+	}
+	return &wire.Response{Status: 200, Body: append(append(front, '\n'), raw...)}
+}
+
+// fetch takes records from a backup and makes them the primary's own.
+func (s *Set) fetch(ctx context.Context, n int, backup string, ids []string) error {
+	s.mu.Lock()
+	p := s.parts[n]
+	epoch, addr := p.epoch, s.placement.Stores[backup].Address
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, s.Contact/8)
+	defer cancel()
+	body, err := json.Marshal(Fetch{n, ids})
+	if err != nil {
+		return err
+	}
+	a, err := s.Pool.Do(ctx, addr, &wire.Call{Method: "POST", Target: "/fetch", Host: addr, Body: body})
+	if err != nil {
+		return fmt.Errorf("fetch: %w", err)
+	}
+	if a.Status != 200 {
+		return &wire.Error{Step: "fetch", Peer: addr, Sent: true, Err: &wire.Status{Code: a.Status, Text: string(a.Body)}}
+	}
+	front, raw := wire.Split(a.Body)
+	var sh Share
+	if err := json.Unmarshal(front, &sh); err != nil {
+		return &wire.Error{Step: "decode fetch", Peer: addr, Sent: true, Err: err}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.epoch != epoch || p.primary != s.Self {
+		return moved(n)
+	}
+	for _, r := range sh.Records {
+		if r.Length > len(raw) {
+			return &wire.Error{Step: "decode fetch", Peer: addr, Sent: true, Err: fmt.Errorf("the bodies are cut short")}
+		}
+		r.Partition = n
+		r.shift(s.Now() - sh.Now)
+		r.Body, raw = slices.Clone(raw[:r.Length]), raw[r.Length:]
+		old := p.records[r.ID]
+		if old != nil && r.State <= old.State {
+			continue
+		}
+		s.change(p, r, nil)
+		if r.State == Pending {
+			s.emit(Event{Partition: n, Records: []*Record{r}})
+		}
+	}
+	return nil
+}
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"log"
 	"maps"
 	"slices"
@@ -119,14 +118,6 @@
 	return true
 }
 
-// accepted is a message on its way to the disks.
-type accepted struct {
-	record *Record
-	local  bool
-	remote map[string]bool // by the disk of a backup
-	done   chan struct{}
-}
-
 // Lease is how long a primary may deliver after its backup has answered.
 func (s *Set) Lease() time.Duration { return s.Contact * 3 / 20 }
 
@@ -336,141 +327,6 @@
 	})
 }
 
-// errors of an accept.
-func moved(n int) error {
-	return &wire.Status{Code: 421, Text: fmt.Sprintf("partition %d is not led here", n)}
-}
-
-// unclear is the answer when a message may have been taken.
-func unclear(n int) error {
-	return &wire.Status{Code: 504, Text: fmt.Sprintf("partition %d: too few stores answered in time", n)}
-}
-
-// Accept takes a message: it returns nil once it is on as many disks as may be
-// lost, and one more. After a 421
-// or a 503 it is certain that it was not taken; any other error is unclear.
-func (s *Set) Accept(ctx context.Context, n int, r *Record) error {
-	logged := false
-	for {
-		s.mu.Lock()
-		if n < 0 || n >= len(s.parts) || s.parts[n].primary != s.Self {
-			s.mu.Unlock()
-			if logged {
-				return unclear(n)
-			}
-			return moved(n)
-		}
-		p := s.parts[n]
-		gone := p.moved
-		if p.closed && p.records[r.ID] == nil {
-			s.mu.Unlock()
-			select {
-			case <-gone:
-				continue
-			case <-ctx.Done():
-				if logged {
-					return unclear(n)
-				}
-				return moved(n)
-			}
-		}
-		if old := p.records[r.ID]; old != nil && old.Tenant != r.Tenant {
-			s.mu.Unlock()
-			return &wire.Status{Code: 409, Text: "another tenant's message has this id"}
-		}
-		w := p.waiting[r.ID]
-		if p.records[r.ID] != nil && w == nil { // taken before
-			certain := len(p.replicas) >= s.Backups && p.verified()
-			here := make(chan struct{})
-			if certain { // but it may not be on this disk yet
-				s.disk.synced(func() { close(here) })
-			}
-			s.mu.Unlock()
-			logged = true
-			select { // until the backups are seen to hold it too
-			case <-here:
-				return nil
-			case <-time.After(s.Contact / 200):
-				continue
-			case <-ctx.Done():
-				return unclear(n)
-			}
-		}
-		if w == nil {
-			if len(p.replicas) < s.Backups {
-				s.mu.Unlock()
-				return &wire.Status{Code: 503, Text: fmt.Sprintf("partition %d has %d backups, %d are needed", n, len(p.replicas), s.Backups)}
-			}
-			if s.disk.refuses() { // others lead soon: worth waiting for
-				s.mu.Unlock()
-				return &wire.Status{Code: 421, Text: "this store's disk takes no writes"}
-			}
-			if s.full {
-				s.mu.Unlock()
-				return &wire.Status{Code: 503, Text: "this store is full"}
-			}
-			r.Partition = n
-			r.Order = p.sequence + 1
-			w = &accepted{record: r, remote: map[string]bool{}, done: make(chan struct{})}
-			p.waiting[r.ID] = w
-			s.change(p, r, func() {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				w.local = true
-				s.settle(p, w)
-			})
-		}
-		logged = true
-		s.mu.Unlock()
-		select {
-		case <-w.done:
-			return nil
-		case <-gone:
-			// The same message may be in the new epoch: look again.
-		case <-ctx.Done():
-			return unclear(n)
-		}
-	}
-}
-
-// settle ends the wait of a message that enough disks hold. The lock is held.
-func (s *Set) settle(p *part, w *accepted) {
-	if !w.local || len(p.replicas) < s.Backups || p.waiting[w.record.ID] != w {
-		return
-	}
-	for _, r := range p.replicas {
-		if !w.remote[r.disk] {
-			return
-		}
-	}
-	delete(p.waiting, w.record.ID)
-	close(w.done)
-	if r := p.records[w.record.ID]; r != nil && r.State == Pending {
-		s.emit(Event{Partition: p.number, Records: []*Record{r}})
-	}
-}
-
-// Finish writes how a message ended.
-func (s *Set) Finish(n int, id string, state State, seal string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.parts[n]
-	r := p.records[id]
-	if r == nil || r.State != Pending {
-		return
-	}
-	end := r.ended(state, seal, s.Now()+s.Keep.Milliseconds())
-	if p.primary == s.Self {
-		s.change(p, end, nil)
-		return
-	}
-	// Not the primary any more: what is known is kept and told when asked.
-	p.sequence++
-	end.Sequence, end.Epoch = p.sequence, r.Epoch
-	s.put(p, end)
-	s.write(p, end, nil)
-}
-
 // Leads tells whether this store may start deliveries of a partition now.
 func (s *Set) Leads(n int) bool {
 	s.mu.Lock()
