What one core took off its list comes back with the next beat that another hears

A core that does not watch it took it off its list for its silence just before the next exchange, and marked that with a version of its own making. Exchanges carry a value only where it changed, so the value never came again, and that core could not count the store as up: where it was the steward, the store stayed dead for good. Handlers were lost in the same way.

Ruled out: beats that do not come (the watchers heard them), the ill disk (well again at 17.4 s), the rule of late beats.

Now: a core asks for the value where it holds none and the other one still hears the node. The test fails with the code before.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -268,12 +268,14 @@
 	Want  []string `json:"want,omitempty"` // keys whose value is not known here
 }
 
-// lacks tells whether an item without its value says more than is known here.
+// lacks tells whether an item without its value says more than is known here:
+// also where this core heard nothing for so long that it took the entry off,
+// while another one still hears it.
 func (r *registry) lacks(it Item) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[it.Key]
-	return it.Value == nil && (e == nil || e.changed.Less(it.Changed))
+	return it.Value == nil && (e == nil || e.changed.Less(it.Changed) || string(e.value) == "null" && e.version.Less(it.Version))
 }
 
 func (c *Core) handleExchange(_ context.Context, in *Exchange, _ []byte) (*Exchanged, error) {
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,3 +52,57 @@
 		}
 	})
 }
+
+// A store that froze for longer than one core waits, but not another, is heard
+// of again by both, though nothing about it has changed; so is a handler. What
+// left for good does not come back.
+func TestWhatOneCoreTookOffComesBackWithTheNextBeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near := &registry{entries: map[string]*entry{}, journal: journal.New("near", time.Hour, ""), late: time.Second}
+		far := &registry{entries: map[string]*entry{}, journal: journal.New("far", time.Hour, ""), late: time.Second}
+		sent := map[string]journal.Version{}
+		exchange := func() {
+			items, _ := near.since(time.Time{}, func(key string) journal.Version {
+				if v, ok := sent[key]; ok {
+					return v
+				}
+				return journal.Version{Major: -1}
+			})
+			for _, it := range items {
+				if far.lacks(it) {
+					delete(sent, it.Key) // it is asked for
+				} else {
+					far.put(it)
+					sent[it.Key] = it.Version
+				}
+			}
+		}
+		const handlers = relay.PrefixInstance + "one"
+		beat := func(n int64) {
+			near.beat(relay.Node{Name: "store-1", Role: "store", Life: "a", Sequence: n})
+			near.hear(Item{Key: handlers, Version: journal.Version{Major: n}, Value: json.RawMessage(`{"state":"ready"}`)})
+		}
+		beat(1)
+		exchange()
+		time.Sleep(4 * time.Second)
+		if out, _ := far.expire(3*time.Second, 3*time.Second); len(out) != 2 {
+			t.Fatalf("taken off: %v", out)
+		}
+		for n := int64(2); n < 5; n++ {
+			beat(n)
+			exchange()
+		}
+		if _, ok := far.nodes()["store-1"]; !ok {
+			t.Error("the store stays away from the core that took it off")
+		}
+		if _, _, _, ok := far.get(handlers); !ok {
+			t.Error("the handler stays away from the core that took it off")
+		}
+		near.hear(Item{Key: handlers, Version: journal.Version{Major: gone}, Value: json.RawMessage("null")})
+		exchange()
+		exchange()
+		if _, _, _, ok := far.get(handlers); ok {
+			t.Error("a handler that left is still there")
+		}
+	})
+}
