A pass that comes late is known as late; contact is proved by passes that came back

Cause: HandlePass applied a whole state of the present view whatever write it was of. Whole state 1, write 2, whole state 1 once more (a link that held it up): the tail held 1 again, and as head would have led with it. A pass in a buffer also counted as contact, so that a core that woke from a freeze told old news for contact-ms/2. A vote looked at the number of the view before it was written, and a view adopted in between took the votes away: a promise was forgotten.

Within a view the sequence of writes only rises, and is on disk, so a late whole state is refused after a restart too. A vote is checked against the view in the transaction that writes it. Nothing is decided or refused in a view of f cores or fewer.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -21,13 +21,23 @@
 type Documents map[string][]byte
 
 // Pass is what a member sends to its successor: one write, which may set
-// several documents, or with All everything that it holds; with neither, a sign
-// of life.
+// several documents, or with All everything that it holds, as a snapshot; with
+// neither, a sign of life.
 type Pass struct {
 	View     View      `json:"view"`
-	Sequence int64     `json:"sequence"`
+	Sequence int64     `json:"sequence"` // of the last write that the sender holds; it only rises within a view
 	All      bool      `json:"all,omitempty"`
 	Set      Documents `json:"set,omitempty"`
+	Stamp    Stamp     `json:"stamp"`
+	// Back is the last pass of this head that came back whole: all members had
+	// answered it.
+	Back int64 `json:"back,omitempty"`
+}
+
+// Stamp orders the passes that one life of a head sends down the chain.
+type Stamp struct {
+	Head   int64 `json:"head"` // differs for each life of a head
+	Number int64 `json:"number"`
 }
 
 // Passed answers a pass. Gap asks for the whole state.
@@ -61,12 +71,23 @@
 	whole     int64 // the view for which this disk holds everything acknowledged
 	sequence  int64
 	docs      Documents
-	active    bool // a pass of this view went through here
-	touched   time.Time
-	steady    time.Time            // since when passes have come without a gap
+	active    bool                 // a pass of this view went through here
+	touched   time.Time            // at that moment all members held what this one held, and no other view was in force
+	steady    time.Time            // since when there was no gap in that
+	stamp     Stamp                // of the last pass, sent or taken
+	back      int64                // the last pass that came back whole, at the head
+	answers   [4]through           // the last passes that this member answered, newest first
+	heard     time.Time            // when a pass last went through here
 	refused   error                // of the last write, if the disk did not take it
 	answered  map[Member]time.Time // when a voter last answered
 	strangers map[Member]bool      // voters whose disk was found to be another, and told of
+	life      int64                // of this process, at random
+}
+
+// through is a pass that this member answered, and when.
+type through struct {
+	stamp Stamp
+	at    time.Time
 }
 
 // lock takes the right to pass or to change the view.
@@ -124,17 +145,54 @@
 	return time.Since(c.steady)
 }
 
-// touch notes that all members hold what this one holds. The lock is held.
-func (c *Chain) touch() {
-	now := time.Now()
-	if now.Sub(c.touched) > c.Contact/2 {
-		c.steady = now
+// touch notes that at a moment all members held what this one held, so that no
+// other view was in force. The lock is held.
+func (c *Chain) touch(at time.Time) {
+	if !at.After(c.touched) {
+		return
+	}
+	if at.Sub(c.touched) > c.Contact/2 {
+		c.steady = at
+	}
+	c.touched = at
+}
+
+// passed notes that a pass went through here. That it was sent proves nothing
+// about now: it may have lain in a buffer while this process was frozen or a
+// link was cut. But the head sends it only after it has heard what became of
+// those before, so the last one that came back shows that this member was in
+// touch when it answered that one. The lock is held.
+func (c *Chain) passed(p Pass, began time.Time) {
+	c.active, c.heard, c.stamp = true, time.Now(), p.Stamp
+	if p.View.at(c.Self) == 0 {
+		c.back = p.Stamp.Number
+		c.touch(began)
+		return
+	}
+	for _, a := range c.answers {
+		if a.stamp == (Stamp{p.Stamp.Head, p.Back}) {
+			c.touch(a.at)
+		}
+	}
+	copy(c.answers[1:], c.answers[:])
+	c.answers[0] = through{p.Stamp, time.Now()}
+}
+
+// pass is the next pass of this head, a sign of life as it stands. The right to
+// write is held.
+func (c *Chain) pass(view View) Pass {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stamp.Head != c.life {
+		c.stamp, c.back = Stamp{Head: c.life}, 0
 	}
-	c.active, c.touched = true, now
+	c.stamp.Number++
+	return Pass{View: view, Sequence: c.sequence, Stamp: c.stamp, Back: c.back}
 }
 
 // Propose makes one write. At the head, decide sees the newest state and gives
-// the documents to set, or an error. Without documents nothing is written.
+// the documents to set, or an error. Without documents nothing is written;
+// without decide it is a sign of life.
 // Either answer is given only once all that decide saw is held by the tail: a
 // refusal must not rest on what may yet be lost.
 func (c *Chain) Propose(ctx context.Context, decide func(Documents) (Documents, error)) error {
@@ -148,13 +206,19 @@
 	if view.at(c.Self) != 0 || !whole {
 		return &wire.Status{Code: 421, Text: "this machine is not the head"}
 	}
-	set, refused := decide(docs)
-	p := Pass{View: view, Sequence: c.sequence}
-	if refused == nil && len(set) > 0 {
+	var set Documents
+	var refused error
+	if decide != nil {
+		// What was decided must outlast as many losses as are borne, and so must
+		// what it rests on: also where nothing is written.
 		if len(view.Members) <= c.Losses {
 			return &wire.Status{Code: 503, Text: fmt.Sprintf("%d cores are in the view, %d are needed", len(view.Members), c.Losses+1)}
 		}
-		p.Sequence, p.Set = c.sequence+1, set
+		set, refused = decide(docs)
+	}
+	p := c.pass(view)
+	if refused == nil && len(set) > 0 {
+		p.Sequence, p.Set = p.Sequence+1, set
 		if err := c.apply(p); err != nil {
 			return err
 		}
@@ -178,6 +242,7 @@
 		c.whole = v.Number
 	}
 	c.view, c.active = v, false
+	c.answers = [len(c.answers)]through{}
 	c.Log.Printf("chain: view %v is in force", v)
 }
 
@@ -223,6 +288,7 @@
 // forward hands a pass to the successor; when it returns nil, the tail holds
 // all that this machine holds. The right to write is held.
 func (c *Chain) forward(ctx context.Context, p Pass) error {
+	began := time.Now()
 	if next, ok := p.View.next(c.Self); ok {
 		if len(p.Set) > 0 {
 			go c.Prepare(p.Set)
@@ -244,7 +310,7 @@
 		}
 	}
 	c.mu.Lock()
-	c.touch()
+	c.passed(p, began)
 	docs := c.docs
 	c.mu.Unlock()
 	c.Committed(docs)
@@ -267,6 +333,9 @@
 	if i < 1 {
 		return nil, &wire.Status{Code: 409, Text: "no place behind the head in this view"}
 	}
+	if err := c.late(p); err != nil {
+		return nil, err
+	}
 	fresh := p.View.Number == view.Number && active
 	switch {
 	case p.All:
@@ -288,6 +357,25 @@
 	return &Passed{}, nil
 }
 
+// late refuses a pass that others have overtaken: it lay in a buffer, or on a
+// link that was cut. Within a view the head's numbers and the sequence of
+// writes only rise; the sequence is on disk, so that holds over a restart too.
+func (c *Chain) late(p *Pass) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.View.Number != c.view.Number {
+		return nil // the first one of its view
+	}
+	if p.Stamp.Head == c.stamp.Head && p.Stamp.Number < c.stamp.Number {
+		return &wire.Status{Code: 409, Text: fmt.Sprintf("pass %d is late, %d was here", p.Stamp.Number, c.stamp.Number)}
+	}
+	if p.All && c.whole == c.view.Number && p.Sequence < c.sequence {
+		return &wire.Status{Code: 409, Text: fmt.Sprintf("a whole state of write %d is late, %d is held", p.Sequence, c.sequence)}
+	}
+	c.stamp = p.Stamp
+	return nil
+}
+
 // Read gives the state if this machine is the tail and a majority of the
 // voters knows of no newer view.
 func (c *Chain) Read(ctx context.Context) (Documents, error) {
--- /dev/null
+++ b/internal/chain/chain_test.go
@@ -0,0 +1,138 @@
+package chain
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"saltreel/internal/ballot"
+	"saltreel/internal/wire"
+)
+
+const contact = 4 * time.Second
+
+// open opens the chain of one core of a, b and c, whose disk is a file.
+func open(t *testing.T, path, self string) *Chain {
+	t.Helper()
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { db.Close() })
+	c := &Chain{
+		Self: Member{Address: self}, Losses: 1, Contact: contact, Log: log.New(io.Discard, "", 0), Voter: &ballot.Voter{},
+		Prepare: func(Documents) {}, Committed: func(Documents) {}, Others: func() []Member { return nil }, Ready: func() bool { return true },
+	}
+	if err := c.Open(db, []string{"a", "b", "c"}); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func (c *Chain) take(t *testing.T, p Pass) (*Passed, error) {
+	t.Helper()
+	return c.HandlePass(context.Background(), &p, nil)
+}
+
+func TestAWholeStateThatComesLateIsRefused(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		for _, life := range []int64{7, 8} { // of the head: the same one, and one after a restart
+			path := filepath.Join(t.TempDir(), "core.db")
+			c := open(t, path, "c")
+			view := c.View()
+			whole := Pass{View: view, Sequence: 1, All: true, Set: Documents{"k": []byte("old")}, Stamp: Stamp{7, 1}}
+			write := Pass{View: view, Sequence: 2, Set: Documents{"k": []byte("new")}, Stamp: Stamp{life, 2}, Back: 1}
+			for _, p := range []Pass{whole, write} {
+				if out, err := c.take(t, p); err != nil || out.Gap {
+					t.Fatalf("pass %d: %v %v", p.Sequence, out, err)
+				}
+			}
+			if restarted {
+				c.db.Close()
+				c = open(t, path, "c")
+			}
+			if _, err := c.take(t, whole); wire.StatusOf(err) != 409 {
+				t.Errorf("restarted %v, head %d: the whole state that came late: %v", restarted, life, err)
+			}
+			if got := string(c.docs["k"]); got != "new" || c.sequence != 2 {
+				t.Errorf("restarted %v, head %d: %q of write %d is held", restarted, life, got, c.sequence)
+			}
+			// The same pass once more, by a link that doubles, changes nothing.
+			if out, err := c.take(t, write); err != nil || !restarted && out.Gap {
+				t.Errorf("the last pass again: %v %v", out, err)
+			}
+		}
+	}
+}
+
+func TestAPassThatLayInABufferIsNoContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := open(t, filepath.Join(t.TempDir(), "core.db"), "c")
+		pass := func(n, back int64) Pass {
+			return Pass{View: c.View(), Sequence: 1, All: n == 1, Stamp: Stamp{7, n}, Back: back}
+		}
+		for n := range int64(5) {
+			if _, err := c.take(t, pass(n+1, n)); err != nil {
+				t.Fatal(err)
+			}
+			if want := n > 0; c.Steady() != want {
+				t.Fatalf("after %d passes: steady %v", n+1, !want)
+			}
+			time.Sleep(contact / 16)
+		}
+		time.Sleep(20 * time.Second) // frozen; the next pass lies in its buffer
+		if c.Steady() {
+			t.Fatal("steady after 20 s without a pass")
+		}
+		if _, err := c.take(t, pass(6, 5)); err != nil {
+			t.Fatal(err)
+		}
+		if c.Steady() {
+			t.Error("steady by a pass that was sent 20 s ago")
+		}
+		// Once the head has heard the answer it sends the next one.
+		if _, err := c.take(t, pass(7, 6)); err != nil || !c.Steady() {
+			t.Errorf("not steady again: %v", err)
+		}
+	})
+}
+
+func TestAPromiseOutlivesTheViewThatIsAdoptedMeanwhile(t *testing.T) {
+	c := open(t, filepath.Join(t.TempDir(), "core.db"), "b")
+	next := c.View()
+	next.Number = 2
+	promise := ballot.Call{Decree: 2, Number: ballot.Number{Round: 5, Who: "x"}}
+	if r, err := c.Voter.Handle(promise); err != nil || !r.Granted {
+		t.Fatalf("promise: %v %v", r, err)
+	}
+	// The call has passed the look at the number of the view when that changes.
+	if err := c.Adopt(context.Background(), next); err != nil {
+		t.Fatal(err)
+	}
+	value, _ := json.Marshal(next)
+	late := ballot.Call{Decree: 2, Number: ballot.Number{Round: 1, Who: "y"}, Value: value}
+	if r, err := c.Voter.Handle(late); err == nil {
+		t.Errorf("a vote below the promise, on a decree that is settled: %+v", r)
+	}
+}
+
+func TestAMemberWhoseDiskWasPutBackDoesNotLead(t *testing.T) {
+	c := open(t, filepath.Join(t.TempDir(), "core.db"), "a")
+	view := c.View()
+	answers := map[Member]*Standing{}
+	for i, m := range view.Members {
+		m.Since = 0
+		answers[m] = &Standing{View: view, Whole: true, Ready: true, Sequence: []int64{3, 9, 8}[i]}
+	}
+	next, ok := c.successor(view, true, answers)
+	if !ok || next.Members[0].Address != "b" || next.Members[2].Address != "a" {
+		t.Errorf("a holds write 3, b 9 and c 8: %v, %v", next, ok)
+	}
+}
--- a/internal/chain/disk.go
+++ b/internal/chain/disk.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/ballot"
+	"saltreel/internal/wire"
 )
 
 var (
@@ -25,7 +27,7 @@
 // the first view.
 func (c *Chain) Open(db *bbolt.DB, founders []string) error {
 	c.db, c.docs, c.write, c.answered = db, Documents{}, make(chan struct{}, 1), map[Member]time.Time{}
-	c.strangers = map[Member]bool{}
+	c.strangers, c.life = map[Member]bool{}, rand.Int64()
 	err := db.Update(func(tx *bbolt.Tx) error {
 		for _, b := range [][]byte{bucketState, bucketDocs, bucketVotes} {
 			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
@@ -101,6 +103,15 @@
 		return err
 	}
 	return v.db.Update(func(tx *bbolt.Tx) error {
+		// A view that was adopted meanwhile took its votes away: one that came
+		// after them would start anew, without the promise made before.
+		var settled View
+		if err := json.Unmarshal(tx.Bucket(bucketState).Get([]byte("view")), &settled); err != nil {
+			return err
+		}
+		if decree <= settled.Number {
+			return &wire.Status{Code: 409, Text: fmt.Sprintf("view %d is settled", settled.Number)}
+		}
 		return tx.Bucket(bucketVotes).Put(strconv.AppendInt(nil, decree, 10), raw)
 	})
 }
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -62,7 +62,10 @@
 	View  View `json:"view"`
 	Next  bool `json:"next"`  // a value for the view after this one was accepted here
 	Whole bool `json:"whole"` // holds everything that was ever acknowledged
-	Ready bool `json:"ready"` // knows what a voter must know
+	// Sequence is of the last write held here; in a chain it never rises from
+	// one member to the next.
+	Sequence int64 `json:"sequence"`
+	Ready    bool  `json:"ready"` // knows what a voter must know
 }
 
 // Query asks a core where it stands. It carries the newest view that the
@@ -84,12 +87,12 @@
 	if c.refused != nil { // whether the disk works again
 		c.refused = c.db.Update(c.saveView)
 	}
-	view, whole, refused := c.view, c.whole == c.view.Number, c.refused
+	view, whole, refused, sequence := c.view, c.whole == c.view.Number, c.refused, c.sequence
 	c.mu.Unlock()
 	if refused != nil {
 		return nil, &wire.Status{Code: 503, Text: "the disk refuses writes: " + refused.Error()}
 	}
-	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, c.Ready()}, nil
+	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, sequence, c.Ready()}, nil
 }
 
 // mine refuses what is meant for another disk at this address.
@@ -173,13 +176,19 @@
 		view := c.View()
 		head := view.at(c.Self) == 0
 		if head {
-			err := c.Propose(ctx, func(Documents) (Documents, error) { return nil, nil })
+			c.mu.Lock()
+			first := !c.active
+			c.mu.Unlock()
+			err := c.Propose(ctx, nil)
+			if err == nil && first { // from the next one the others learn that this one came back
+				err = c.Propose(ctx, nil)
+			}
 			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
 				c.Log.Printf("chain: sign of life: %v", err)
 			}
 		}
 		c.mu.Lock()
-		quiet := time.Since(c.touched) > c.Contact/4
+		quiet := time.Since(c.heard) > c.Contact/4
 		c.mu.Unlock()
 		if time.Since(started) < c.Contact/8 || time.Since(mended) < c.Contact/16 {
 			continue
@@ -248,7 +257,7 @@
 		return
 	}
 	c.mu.Lock()
-	works := c.active && time.Since(c.touched) <= c.Contact/4
+	works := c.active && time.Since(c.heard) <= c.Contact/4
 	c.mu.Unlock()
 	next, ok := c.successor(view, works, answers)
 	begun := c.Voter.Accepted(next.Number)
@@ -273,12 +282,16 @@
 	next = View{Number: view.Number + 1, Voters: slices.Clone(view.Voters)}
 	// Those that hold everything go first; among them the order stays, so that
 	// the new head holds all that any of them does.
+	// One whose disk was put back as it was before lacks what a member behind it
+	// holds.
 	var behind []Member
-	for _, m := range view.Members {
-		if s := of(m); s != nil && s.Whole {
-			next.Members = append(next.Members, m)
+	var held int64
+	for _, m := range slices.Backward(view.Members) {
+		if s := of(m); s != nil && s.Whole && s.Sequence >= held {
+			next.Members = slices.Insert(next.Members, 0, m)
+			held = s.Sequence
 		} else if s != nil {
-			behind = append(behind, m)
+			behind = slices.Insert(behind, 0, m)
 		}
 	}
 	if len(next.Members) == 0 {
