Leavings are kept for an electorate; a core that was out of touch learns before it speaks

Cause: settle counted a majority of the voters of the view known here, while peers answered in whatever view they were. After two changes of voters a majority of the old ones need not meet one of the new, and a core that was cut off told what it knew of handlers from before the cut, up to the next exchange after it.

Ruled out: leavings in the chain (a pass for each of a release's dozens); counting by the view's number (a change of members only would stop leavings that are under way).

Change: a view names its electorate, the number of the view with which its voters came in, and the one before. A voter keeps a leaving for the electorate in force or refuses, and looks again once it is on disk. A core is complete for an electorate when a majority of it, or of the one before that has already gone over, told it what it keeps; the voters change only when a majority of them is complete. A core that was out of touch asks a majority again before it takes beats or tells news.

--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -33,6 +33,23 @@
 	Number  int64    `json:"number"`
 	Members []Member `json:"members"` // the head first; all of them are voters
 	Voters  []Member `json:"voters"`
+	// Electorate is the number of the view with which these voters came in;
+	// Former are those before them, and FormerElectorate is their number.
+	Electorate       int64    `json:"electorate,omitempty"`
+	Former           []Member `json:"former,omitempty"`
+	FormerElectorate int64    `json:"former-electorate,omitempty"`
+}
+
+// Of counts those of a set of members for which a condition holds, and tells
+// whether they are a majority of it.
+func Of(set []Member, f func(Member) bool) (n int, majority bool) {
+	for _, m := range set {
+		m.Since = 0
+		if f(m) {
+			n++
+		}
+	}
+	return n, n*2 > len(set)
 }
 
 func (v View) at(who Member) int { return slices.IndexFunc(v.Members, who.is) }
@@ -279,7 +296,8 @@
 // not ok when too few answered for one that is safe.
 func (c *Chain) successor(view View, works bool, answers map[Member]*Standing) (next View, ok bool) {
 	of := func(m Member) *Standing { m.Since = 0; return answers[m] }
-	next = View{Number: view.Number + 1, Voters: slices.Clone(view.Voters)}
+	next = view
+	next.Number, next.Members, next.Voters = view.Number+1, nil, slices.Clone(view.Voters)
 	// Those that hold everything go first; among them the order stays, so that
 	// the new head holds all that any of them does.
 	// One whose disk was put back as it was before lacks what a member behind it
@@ -315,6 +333,9 @@
 	}
 	if works && !joined && len(next.Members) == len(view.Members) {
 		c.changeVoters(view, &next, of, join)
+		if !slices.Equal(next.Voters, view.Voters) {
+			next.Electorate, next.Former, next.FormerElectorate = next.Number, view.Voters, view.Electorate
+		}
 	}
 	return next, len(next.Members)*2 > len(next.Voters)
 }
@@ -322,6 +343,12 @@
 // changeVoters lets one more core vote, in place of one that is lost where
 // there is one, or takes the vote of a lost one that is not needed.
 func (c *Chain) changeVoters(view View, next *View, of func(Member) *Standing, join func(Member)) {
+	// What the voters keep by majority, beside the chain, must have come over to
+	// the present ones before the next change: those that change then learn it
+	// from a majority of these.
+	if _, most := Of(view.Voters, func(v Member) bool { s := of(v); return s != nil && s.Ready }); !most {
+		return
+	}
 	lost := func(v Member) bool {
 		v.Since = 0
 		at, heard := c.answered[v]
--- a/internal/cluster/control_test.go
+++ b/internal/cluster/control_test.go
@@ -273,3 +273,78 @@
 		}
 	})
 }
+
+// A leaving that two of three voters keep is known after the third one's only
+// neighbour that knows it was replaced and the other one is lost.
+func TestALeavingOutlivesTheVotersThatKeptIt(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2")
+		w.configure(options{})
+		w.net.sever([]string{"10.1.0.1"}, []string{"10.3.0.1"}, true) // the head does not reach the tail but through the chain
+		w.net.sever([]string{"10.3.0.1"}, []string{"10.1.0.1"}, true)
+		leaver := plain.by["plain-i0"]
+		leaver.stop()
+		a, err := w.do("10.1.0.1:82", &wire.Call{Method: "DELETE", Target: "/v1/instances/" + leaver.id, Host: "10.1.0.1:82"}, time.Second)
+		if err != nil || a.Status != 200 {
+			t.Fatalf("DELETE: %+v, %v", a, err)
+		}
+		w.kill("core-z1")
+		w.add("core-new", "core", "z1", "10.1.0.9", false)
+		w.seeds[0] = "10.1.0.9"
+		w.until(10*time.Second, "the new core votes in place of the head", func() bool {
+			s, err := w.status()
+			return err == nil && len(s.View.Voters) == 3 && strings.Contains(fmt.Sprint(s.View.Voters), "10.1.0.9")
+		})
+		w.kill("core-z2")
+		w.until(10*time.Second, "beats are taken again", func() bool {
+			return plain.call("PUT", leaver.id, fmt.Sprintf(`{"service":"plain","address":%q,"zone":"z1","slots":2,"oper-state":"ready","call-seq":1}`, leaver.addr)) == 200
+		})
+		time.Sleep(2 * time.Second)
+		s, err := w.status()
+		for _, h := range s.Handlers {
+			if h.ID == leaver.id {
+				t.Errorf("%s is back: %+v, %v", h.ID, h, err)
+			}
+		}
+	})
+}
+
+// What is kept by majority is kept by the voters that are in force: one that
+// asks in the name of those before is refused.
+func TestVotersKeepNothingForTheOnesBefore(t *testing.T) {
+	run(t, func(w *world) {
+		w.configure(options{})
+		keep := func(ip string, electorate int64, id string) (string, error) {
+			var out struct {
+				Disk string `json:"disk"`
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			err := w.pool.Post(ctx, ip+":7100", "/exchange", map[string]any{"from": "10.9.0.1", "keep": electorate,
+				"items": []any{map[string]any{"key": "instance/" + id, "version": map[string]any{"major": int64(1) << 61}, "value": nil}}}, nil, &out)
+			return out.Disk, err
+		}
+		if _, err := keep("10.2.0.1", 0, "x1"); err != nil {
+			t.Fatalf("for the founders: %v", err)
+		}
+		w.kill("core-z1")
+		time.Sleep(1500 * time.Millisecond)
+		w.add("core-new", "core", "z1", "10.1.0.9", false)
+		w.seeds[0] = "10.1.0.9"
+		var electorate int64
+		w.until(10*time.Second, "the voters have changed", func() bool {
+			s, err := w.status()
+			electorate = s.View.Electorate
+			return err == nil && electorate > 0
+		})
+		for _, ip := range []string{"10.1.0.9", "10.2.0.1", "10.3.0.1"} {
+			w.until(time.Second, ip+" keeps for the voters in force", func() bool {
+				_, err := keep(ip, electorate, "x2")
+				return err == nil
+			})
+			if _, err := keep(ip, 0, "x3"); wire.StatusOf(err) != 409 {
+				t.Errorf("%s keeps for the founders: %v", ip, err)
+			}
+		}
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,6 +57,8 @@
 	placement Placement
 	dead      map[string]time.Time // nodes found dead, and when
 	loaded    bool                 // a majority of the voters told its registry
+	behind    bool                 // it was out of touch since
+	complete  int64                // the electorate before whose time this disk keeps every leaving that was acknowledged
 	ready     map[int]stopped      // partitions whose primary stopped
 	inStep    map[Copy]bool        // reports for the next placement
 	handing   map[string]bool      // stores asked to stop partitions
@@ -98,7 +100,7 @@
 	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 32)}
 	c.chain = &chain.Chain{
 		Self: chain.Member{Address: c.self}, Losses: int(set.FaultTolerance.HostFailures), Pool: c.pool, Contact: c.contact, Log: logger,
-		Voter: c.voter, Prepare: c.prepare, Committed: c.committed, Others: c.others, Ready: c.isLoaded,
+		Voter: c.voter, Prepare: c.prepare, Committed: c.committed, Others: c.others, Ready: c.isReady,
 	}
 	var founders []string
 	if set.Bootstrap {
@@ -141,7 +143,8 @@
 	if err := c.chain.Open(c.db, founders); err != nil {
 		return err
 	}
-	kept, err := openLeavings(c.db)
+	kept, complete, err := openLeavings(c.db)
+	c.complete = complete
 	for _, it := range kept {
 		c.registry.put(it)
 		c.kept[it.Key] = it.Version.Major / drains
@@ -212,7 +215,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for our own processes: %w", err)
 	}
-	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Linger: c.contact / 32, Fresh: func() bool { return c.isLoaded() && c.chain.Steady() },
+	source := &relay.Source{Journal: c.journal, Wait: c.contact / 2, Linger: c.contact / 32, Fresh: c.inTouch,
 		Patience: c.contact / 16, Young: func() bool { return c.chain.SteadyFor() < c.contact/8 }}
 	mux := wire.Mux{
 		"/news":           source.Handle,
@@ -236,7 +239,7 @@
 	server := &wire.Server{Handle: mux.Handle, Log: c.log}
 	for _, f := range []func(context.Context){
 		func(ctx context.Context) { _ = server.Serve(ctx, inner) },
-		c.start, c.chain.Tend, c.gossip, c.steward,
+		c.learn, c.chain.Tend, c.gossip, c.steward,
 	} {
 		c.tasks.Go(func() { f(c.life) })
 	}
@@ -257,51 +260,7 @@
 	return &v, nil
 }
 
-// start learns the view and the registry. A leaving that was acknowledged is
-// on a majority of the voters, so this core says nothing about handlers before
-// a majority has told what it knows.
-func (c *Core) start(ctx context.Context) {
-	told := map[chain.Member]bool{}
-	for ctx.Err() == nil {
-		for _, peer := range c.peers() {
-			pctx, cancel := context.WithTimeout(ctx, c.contact/16)
-			var v chain.View
-			err := c.pool.Post(pctx, peer, "/view", struct{}{}, nil, &v)
-			if err == nil {
-				err = c.chain.Adopt(pctx, v)
-			}
-			var out Exchanged
-			if err == nil {
-				err = c.pool.Post(pctx, peer, "/exchange", Exchange{From: c.self, All: true}, nil, &out)
-			}
-			if err == nil {
-				err = c.take(out.Items)
-			}
-			cancel()
-			if err == nil {
-				told[chain.Member{Address: peer, Disk: out.Disk}] = true
-			}
-		}
-		view := c.chain.View()
-		told[c.chain.Self] = true
-		n := 0
-		for _, v := range view.Voters {
-			v.Since = 0
-			if told[v] {
-				n++
-			}
-		}
-		if n*2 > len(view.Voters) {
-			c.mu.Lock()
-			c.loaded = true
-			c.mu.Unlock()
-			c.log.Printf("core: the registry is loaded from %d of %d voters", n, len(view.Voters))
-			return
-		}
-		sleep(ctx, c.contact/40)
-	}
-}
-
+// isLoaded tells whether a majority of the voters told this core what they know.
 func (c *Core) isLoaded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -433,39 +392,6 @@
 	}
 }
 
-// settle returns once an item is on the disks of a majority of the voters, and
-// on as many as may be lost and one more.
-func (c *Core) settle(ctx context.Context, it Item) error {
-	ctx, cancel := context.WithTimeout(ctx, c.contact/5)
-	defer cancel()
-	view := c.chain.View()
-	need := max(len(view.Voters)/2+1, int(c.set.FaultTolerance.HostFailures)+1)
-	got := make(chan error, len(view.Voters))
-	for _, v := range view.Voters {
-		c.tasks.Go(func() {
-			if v.Address == c.self {
-				got <- c.keep([]Item{it})
-				return
-			}
-			var out Exchanged
-			err := c.pool.Post(ctx, v.Address, "/exchange", Exchange{From: c.self, Items: []Item{it}}, nil, &out)
-			if err == nil && out.Disk != v.Disk {
-				err = fmt.Errorf("%s has another disk", v.Address)
-			}
-			got <- err
-		})
-	}
-	var last error
-	for range view.Voters {
-		if err := <-got; err != nil {
-			last = err
-		} else if need--; need == 0 {
-			return nil
-		}
-	}
-	return &wire.Status{Code: 503, Text: fmt.Sprintf("too few cores keep the news: %v", last)}
-}
-
 func (c *Core) handleNode(_ context.Context, n *relay.Node, _ []byte) (*struct{}, error) {
 	if it, changed := c.registry.beat(*n); changed {
 		c.nudge()
@@ -486,7 +412,7 @@
 }
 
 func (c *Core) handleBeat(ctx context.Context, r *wire.Request, id string) *wire.Response {
-	if !c.isLoaded() || !c.chain.Steady() {
+	if !c.inTouch() {
 		return wire.Problem(503, "this core is not in touch with the others")
 	}
 	var err error
--- a/internal/core/leavings.go
+++ b/internal/core/leavings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -13,9 +14,18 @@
 
 var bucketLeavings = []byte("leavings")
 
-// openLeavings reads the leavings that this disk keeps.
-func openLeavings(db *bbolt.DB) (out []Item, err error) {
+// bucketComplete holds the electorate for which the leavings here are complete.
+var bucketComplete = []byte("leavings-complete")
+
+// openLeavings reads the leavings that this disk keeps, and before the time of
+// which electorate it keeps all that were acknowledged.
+func openLeavings(db *bbolt.DB) (out []Item, complete int64, err error) {
 	err = db.Update(func(tx *bbolt.Tx) error {
+		e, err := tx.CreateBucketIfNotExists(bucketComplete)
+		if err != nil {
+			return err
+		}
+		complete, _ = strconv.ParseInt(string(e.Get(bucketComplete)), 10, 64)
 		b, err := tx.CreateBucketIfNotExists(bucketLeavings)
 		if err != nil {
 			return err
@@ -33,7 +43,7 @@
 			return nil
 		})
 	})
-	return out, err
+	return out, complete, err
 }
 
 // keep puts leavings on disk, those of several calls at once where they come
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"saltreel/internal/chain"
 	"saltreel/internal/handler"
 	"saltreel/internal/journal"
 	"saltreel/internal/relay"
@@ -258,14 +260,28 @@
 type Exchange struct {
 	From  string `json:"from"`
 	Items []Item `json:"items,omitempty"`
-	All   bool   `json:"all,omitempty"` // asks for everything back
+	Ask   string `json:"ask,omitempty"` // for what is to come back, if anything
+	// View is what the asker knows, with Ask: the one asked is in it, or in a
+	// newer one, before it answers.
+	View *chain.View `json:"view,omitempty"`
+	// Keep asks to keep the items as a voter of an electorate, and to refuse
+	// when the one asked is not a voter of that one.
+	Keep *int64 `json:"keep,omitempty"`
 }
 
+// What an exchange may ask for.
+const (
+	askAll      = "all"
+	askLeavings = "leavings"
+)
+
 // Exchanged answers an exchange.
 type Exchanged struct {
-	Disk  string   `json:"disk"` // of the core that answers: what it kept is on that one
-	Items []Item   `json:"items,omitempty"`
-	Want  []string `json:"want,omitempty"` // keys whose value is not known here
+	Disk     string      `json:"disk"` // of the core that answers: what it kept is on that one
+	Items    []Item      `json:"items,omitempty"`
+	Want     []string    `json:"want,omitempty"` // keys whose value is not known here
+	View     *chain.View `json:"view,omitempty"` // with Ask
+	Complete int64       `json:"complete,omitempty"`
 }
 
 // lacks tells whether an item without its value says more than is known here:
@@ -278,8 +294,16 @@
 	return it.Value == nil && (e == nil || e.changed.Less(it.Changed) || string(e.value) == "null" && e.version.Less(it.Version))
 }
 
-func (c *Core) handleExchange(_ context.Context, in *Exchange, _ []byte) (*Exchanged, error) {
+func (c *Core) handleExchange(ctx context.Context, in *Exchange, _ []byte) (*Exchanged, error) {
 	out := &Exchanged{Disk: c.chain.Self.Disk}
+	if in.View != nil {
+		if err := c.chain.Adopt(ctx, *in.View); err != nil {
+			return nil, err
+		}
+	}
+	if in.Keep != nil {
+		return out, c.keepFor(*in.Keep, in.Items)
+	}
 	known := in.Items[:0]
 	for _, it := range in.Items {
 		if c.registry.lacks(it) {
@@ -291,8 +315,16 @@
 	if err := c.take(known); err != nil {
 		return nil, err
 	}
-	if in.All {
+	if in.Ask != "" {
+		// The view comes first: what is kept for it later is not promised to be among the items.
+		view := c.chain.View()
+		c.mu.Lock()
+		out.View, out.Complete = &view, c.complete
+		c.mu.Unlock()
 		out.Items, _ = c.registry.since(time.Time{}, func(string) journal.Version { return journal.Version{Major: -1} })
+		if in.Ask == askLeavings {
+			out.Items = slices.DeleteFunc(out.Items, func(it Item) bool { return !it.leaving() })
+		}
 	}
 	return out, nil
 }
