--- a/internal/cluster/control_test.go
+++ b/internal/cluster/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -348,3 +349,83 @@
 		}
 	})
 }
+
+// A core that is cut off for twenty seconds says nothing old, neither while it
+// is cut off nor in the moment when the cut heals.
+func TestACoreThatWasCutOffTellsNothingOld(t *testing.T) {
+	for _, way := range []string{"both ways", "out", "in"} {
+		run(t, func(w *world) {
+			plain := w.service("plain", "z1", "z2")
+			w.configure(options{})
+			lone, rest := []string{"10.3.0.1"}, []string{"10.1.0.1", "10.2.0.1", "10.1.0.2", "10.2.0.2", "10.3.0.2", "10.1.0.3", "10.2.0.3", "10.3.0.3"}
+			sever := func(yes bool) {
+				if way != "in" {
+					w.net.sever(lone, rest, yes)
+				}
+				if way != "out" {
+					w.net.sever(rest, lone, yes)
+				}
+			}
+			news := func() (page string, status int) { // as a node that starts asks for it
+				a, err := w.do("10.3.0.1:7100", &wire.Call{Method: "POST", Target: "/news", Host: "10.3.0.1", Body: []byte(`{"wait-ms":0,"role":"store"}`)}, time.Second)
+				if err != nil {
+					return "", 0
+				}
+				return string(a.Body), a.Status
+			}
+			if _, status := news(); status != 200 {
+				t.Fatalf("news before the cut: %d", status)
+			}
+			sever(true)
+			time.Sleep(2 * time.Second) // contact-ms/2
+			w.seeds = w.seeds[:2]
+			w.change("during the cut", options{attempts: 9})
+			leaver := plain.by["plain-i0"]
+			leaver.stop()
+			w.until(5*time.Second, "the leaving is acknowledged", func() bool { return plain.call("DELETE", leaver.id, "") == 200 })
+			beat := func() int {
+				a, err := w.do("10.3.0.1:82", &wire.Call{Method: "PUT", Target: "/v1/instances/" + leaver.id, Host: "10.3.0.1", Body: fmt.Appendf(nil,
+					`{"service":"plain","address":%q,"zone":"z1","slots":2,"oper-state":"ready","call-seq":1}`, leaver.addr)}, time.Second)
+				if err != nil {
+					return 0
+				}
+				return a.Status
+			}
+			for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+				if _, status := news(); status == 200 {
+					t.Fatalf("cut off %s: it tells news", way)
+				}
+				if status := beat(); status == 200 {
+					t.Fatalf("cut off %s: it takes beats", way)
+				}
+			}
+			sever(false)
+			var page string
+			w.until(10*time.Second, "news after the cut", func() bool {
+				p, status := news()
+				page = p
+				return status == 200
+			})
+			var told struct {
+				Events []struct {
+					Key     string `json:"key"`
+					Version struct {
+						Major int64 `json:"major"`
+					} `json:"version"`
+					Value any `json:"value"`
+				} `json:"events"`
+			}
+			if err := json.Unmarshal([]byte(page), &told); err != nil || len(told.Events) == 0 {
+				t.Fatalf("the page cannot be read: %v %.200s", err, page)
+			}
+			for _, e := range told.Events {
+				if e.Key == "configuration" && e.Version.Major != int64(w.version) {
+					t.Errorf("cut off %s: revision %d is told after the cut, %d is in force", way, e.Version.Major, w.version)
+				}
+				if e.Key == "instance/"+leaver.id && e.Value != nil {
+					t.Errorf("cut off %s: %s is told as there after the cut: %v", way, leaver.id, e.Value)
+				}
+			}
+		})
+	}
+}
