A beat of a life that is over is late however long a link held it up; status speaks only in touch

Cause: a beat of the life before counted as late for contact-ms/2 only; one that a cut link held up for twenty seconds made that life, its address and its disk the newer one until the next beat.

Change: a core remembers the last eight lives of a node of which it heard the next one itself. What others told of a life is still believed for contact-ms/2 only, since a picture may be stale. status answers 503 at a core that is not in touch.

Test: TestLivesOfNodesDoNotRestOnClocks, with beats 20 s and an hour late; both fail on the code before.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -27,6 +27,7 @@
 	settled int64     // 1 once it is sure that the draining lasts, 2 that the end does
 	former  string    // the life of the node before this one
 	ended   time.Time // when the next was seen
+	over    []string  // the lives that this core itself heard the next one of, newest last
 }
 
 // registry holds the handlers and nodes. Each core hears some beats itself and
@@ -35,9 +36,13 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	journal *journal.Journal
-	late    time.Duration // how long beats of a life that is over may still come
+	late    time.Duration // how long what others told of a life that is over holds
 }
 
+// formerLives is how many lives that are over are known of each node: a link
+// that was cut may bring a beat of any of them, however late.
+const formerLives = 8
+
 // Item is an entry in an exchange. Value is left out where it did not change.
 type Item struct {
 	Key     string          `json:"key"`
@@ -84,11 +89,15 @@
 		switch {
 		case e.node.Life == n.Life:
 			it.Version.Major = e.version.Major
-		case e.former == n.Life && time.Since(e.ended) < r.late: // a late beat
+		case e.former == n.Life && time.Since(e.ended) < r.late, slices.Contains(e.over, n.Life): // a late beat
 			r.mu.Unlock()
 			return it, false
 		default:
 			it.Version.Major = max(it.Version.Major, e.version.Major+1)
+			if e.node.Life != "" {
+				e.over = append(e.over, e.node.Life)
+				e.over = e.over[max(0, len(e.over)-formerLives):]
+			}
 		}
 	}
 	r.mu.Unlock()
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -29,9 +29,11 @@
 		if of(other) != "two" || !first.Version.Less(second.Version) {
 			t.Fatalf("the second life is not the newer one: %q, %+v", of(other), second.Version)
 		}
-		beat(other, "one", 6)
-		if of(other) != "two" {
-			t.Error("a late beat of the first life brought it back")
+		for _, late := range []time.Duration{0, 20 * time.Second, time.Hour} { // as long as a link may hold it up
+			time.Sleep(late)
+			if beat(other, "one", 6); of(other) != "two" {
+				t.Errorf("a beat of the first life that came %v late brought it back", late)
+			}
 		}
 		// The other watcher saw only the first life so far: the second wins there
 		// too, and a third that both see at once is the same for both.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -10,6 +10,7 @@
 	"saltreel/internal/handler"
 	"saltreel/internal/journal"
 	"saltreel/internal/relay"
+	"saltreel/internal/wire"
 )
 
 // Overview is what the operator's status command shows.
@@ -21,9 +22,13 @@
 	Handlers  []handler.Instance `json:"handlers"`
 }
 
-// Status tells the state of the system as this core and the tail know it.
+// Status tells the state of the system as this core and the tail know it. A core
+// that is not in touch answers 503: what it knows of handlers may be old.
 func (c *Core) Status(ctx context.Context) (Overview, error) {
 	o := Overview{View: c.chain.View()}
+	if !c.inTouch() {
+		return o, &wire.Status{Code: 503, Text: "this core is not in touch with the others"}
+	}
 	s, err := c.Read(ctx)
 	if err != nil {
 		return o, err
