Wire: calls are named, sent again only where they may be, and end with their caller

Cause: an answer between our own processes carried nothing that tied it to a call. On a connection that cannot be looked at, an answer to nobody's question became the next call's. Pool.Repeat sent any call again, /grant too, which gives quota away twice. A handler knew nothing of its caller's wait, and waited for locks long after. A context that ended in the moment of the answer could set the deadline of the next call on that connection.

Ruled out: a name for each connection with a counter (it would have to be sent too, or what is played again on a later connection counts); a goroutine that watches each connection while its call runs (the wait in the header bounds it for less).

Change: one header names the call by 48 random bits and says how many milliseconds its caller waits; the answer repeats it. An answer to a call that has a header to repeat, deliveries too, counts only if it repeats it once, gives its length, is whole and has nothing behind it. The mux bounds the handler by the wait, begins nothing that is over it, and nothing whose caller has closed the connection. /copy, /digest and /fetch were never sent again by their pool; the last two may be now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,7 +90,7 @@
 	c.node = relay.Node{Name: set.NodeName, Role: "core", Address: c.self, Zone: set.Zone, Region: set.Region, Life: life}
 	c.journal = journal.New(set.NodeName+"/"+life, 16*c.contact, relay.PrefixNode)
 	c.registry = &registry{entries: map[string]*entry{}, journal: c.journal, late: c.contact / 2}
-	c.pool = &wire.Pool{Network: network, Repeat: true}
+	c.pool = &wire.Pool{Network: network}
 	db, err := OpenDisk(filepath.Join(set.DataPath, "core.db"))
 	if err != nil {
 		return nil, err
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -225,7 +225,7 @@
 		primary := p.Partitions[q.Partition].Primary
 		addr := p.Stores[primary].Address
 		tctx, cancel := context.WithTimeout(ctx, contact/6)
-		a, err := e.node.Pool.Do(tctx, addr, &wire.Call{Method: "POST", Target: path, Host: addr, Body: body})
+		a, err := e.node.Pool.Ask(tctx, addr, path, body)
 		cancel()
 		switch {
 		case err == nil && (a.Status == 200 || a.Status == 404 || a.Status == 410):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 	life := rand.Text()
 	n := &Node{
 		Settings: set, Log: logger, Network: network,
-		Pool:    &wire.Pool{Network: network, Repeat: true},
+		Pool:    &wire.Pool{Network: network},
 		Journal: journal.New(set.NodeName+"/"+life, 16*set.Contact(), relay.PrefixNode),
 		Self:    relay.Node{Name: set.NodeName, Role: role, Address: set.Internal(), Zone: set.Zone, Region: set.Region, Life: life},
 		told:    map[string]time.Time{}, moved: make(chan struct{}), beatNow: make(chan struct{}, 1),
--- a/internal/partition/repair.go
+++ b/internal/partition/repair.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := s.Pool.Do(ctx, addr, &wire.Call{Method: "POST", Target: "/fetch", Host: addr, Body: body})
+	a, err := s.Pool.Ask(ctx, addr, "/fetch", body)
 	if err != nil {
 		return fmt.Errorf("fetch: %w", err)
 	}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -48,15 +48,18 @@
 	WaitMs map[string]int64   `json:"wait,omitempty"`
 }
 
-func (m *meters) handle(_ context.Context, in *Grant, _ []byte) (*Granted, error) {
+func (m *meters) handle(ctx context.Context, in *Grant, _ []byte) (*Granted, error) {
 	t := m.table()
 	if t == nil || in.Partitions <= 0 {
 		return nil, &wire.Status{Code: 503, Text: "no configuration is known here"}
 	}
 	out := &Granted{Given: map[string]float64{}, WaitMs: map[string]int64{}}
-	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if ctx.Err() != nil { // what is given to nobody is lost
+		return nil, &wire.Status{Code: 503, Text: "the caller waits no longer"}
+	}
+	now := time.Now()
 	for name, want := range in.Want {
 		tenant := t.Tenant(name)
 		if tenant == nil {
--- /dev/null
+++ b/internal/wire/calls.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// headerCall names a call between our own processes: a random number, and how
+// many milliseconds the caller still waits for the answer, which repeats both.
+// The time is a duration, since clocks differ.
+const headerCall = "Call"
+
+// Idempotent holds the calls that may be sent again by themselves when a kept
+// connection breaks before any answer. docs/calls.md says why, and why the
+// others are not here: those are sent again only by their callers, who know
+// that the answer to the first one is unclear.
+var Idempotent = map[string]bool{
+	"/accept":         true,
+	"/ballot":         true,
+	"/beat":           true,
+	"/body":           true,
+	"/chain/adopt":    true,
+	"/chain/standing": true,
+	"/digest":         true,
+	"/duty":           true,
+	"/exchange":       true,
+	"/fetch":          true,
+	"/in-step":        true,
+	"/news":           true,
+	"/ping":           true,
+	"/read":           true,
+	"/status":         true,
+	"/suspect":        true,
+	"/view":           true,
+}
+
+// name makes the name of a call. Of 48 random bits, no two on one connection
+// and no two of which one may come late, over all lives, are alike.
+func name(ctx context.Context) string {
+	var id [8]byte
+	binary.LittleEndian.PutUint64(id[:], rand.Uint64())
+	out := base64.RawURLEncoding.AppendEncode(make([]byte, 0, 16), id[:6])
+	if d, ok := ctx.Deadline(); ok {
+		out = strconv.AppendInt(append(out, ' '), max(0, time.Until(d).Milliseconds())+1, 10)
+	}
+	return string(out)
+}
+
+// Mux answers the calls of our own processes by their path.
+type Mux map[string]Handler
+
+// Handle is the mux as a handler. It repeats the name of the call. What the
+// caller waits for no longer is not begun, and what has begun ends with the
+// caller's wait.
+func (m Mux) Handle(ctx context.Context, r *Request) *Response {
+	call := r.Header.Get(headerCall)
+	if r.Conn != nil && r.Conn.left() {
+		return nil // nobody reads an answer
+	}
+	if _, ms, ok := strings.Cut(call, " "); ok {
+		wait, err := strconv.ParseInt(ms, 10, 32)
+		if err != nil || wait < 0 {
+			return Problem(400, "the call says not how long its caller waits")
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Received.Add(time.Duration(wait)*time.Millisecond))
+		defer cancel()
+	}
+	var answer *Response
+	h := m[r.URL.Path]
+	switch {
+	case h == nil:
+		answer = Problem(404, "no such call: "+r.URL.Path)
+	case ctx.Err() != nil:
+		answer = Problem(503, "the caller waits no longer; nothing was done")
+	default:
+		answer = h(ctx, r)
+	}
+	if answer != nil && call != "" {
+		answer.Header = append(answer.Header, headerCall, call)
+	}
+	return answer
+}
+
+// left tells whether the client has closed the connection behind its request,
+// as far as its machine has said so. A process that was frozen, or reached only
+// after a cut, finds such requests; our own callers never close just one way.
+func (c *Conn) left() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	})
+	return gone || errors.Is(err, net.ErrClosed)
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -46,6 +46,7 @@
 	Header               []string // names and values in turn
 	Body                 []byte
 	Repeats              string // a header that the answer must repeat as it was sent
+	Idempotent           bool   // may be sent again once when a kept connection breaks before any answer
 }
 
 // sent is the value of a header of the call.
@@ -91,7 +92,6 @@
 	MaxIdle int           // idle connections kept for one peer
 	Expire  time.Duration // an idle connection older than this is not used; 0: as the peer's Keep-Alive says
 	Opening time.Duration // how long opening a connection may take; 0: as long as the call
-	Repeat  bool          // calls may be sent twice: try again once when a kept connection breaks
 
 	mu    sync.Mutex
 	idle  map[string][]*clientConn
@@ -139,6 +139,7 @@
 	br    *bufio.Reader
 	until time.Time
 	used  bool
+	still bool // the end of the last call's context does not touch it any more
 }
 
 func (p *Pool) take(addr string) *clientConn {
@@ -240,7 +241,7 @@
 		}
 		a, began, err := c.do(ctx, call)
 		if err == nil {
-			if keep(a, c, p.Expire) {
+			if c.still && keep(a, c, p.Expire) {
 				p.give(addr, c)
 			} else {
 				p.count(addr, -1)
@@ -250,14 +251,15 @@
 		}
 		p.count(addr, -1)
 		c.Close()
-		sent = true
-		if c.used && p.Repeat && !began && ctx.Err() == nil {
-			continue
-		}
 		var e *Error
 		if errors.As(err, &e) {
+			e.Sent = e.Sent || sent
 			e.Peer, e.Kept = addr, c.used && !began
 		}
+		sent = true
+		if c.used && call.Idempotent && !began && ctx.Err() == nil {
+			continue
+		}
 		return nil, err
 	}
 }
@@ -292,16 +294,25 @@
 }
 
 func (c *clientConn) do(ctx context.Context, call *Call) (a *Answer, began bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, false, &Error{Step: "write", Err: err}
+	}
 	if d, ok := ctx.Deadline(); ok {
 		c.SetDeadline(d)
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	// Where it has begun it may yet run: the connection is not for the next call.
+	defer func() { c.still = stop() }()
 	buf := make([]byte, 0, 512+len(call.Body))
 	buf = append(buf, call.Method+" "+call.Target+" HTTP/1.1\r\nHost: "+call.Host+"\r\n"...)
 	for i := 0; i+1 < len(call.Header); i += 2 {
 		buf = append(buf, call.Header[i]+": "+call.Header[i+1]+"\r\n"...)
 	}
+	want := call.sent(call.Repeats)
+	if call.Repeats == headerCall {
+		want = name(ctx)
+		buf = append(buf, headerCall+": "+want+"\r\n"...)
+	}
 	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodDelete {
 		buf = append(buf, "Content-Length: "+strconv.Itoa(len(call.Body))+"\r\n"...)
 	}
@@ -320,18 +331,23 @@
 	if err != nil {
 		return nil, true, &Error{Step: "read", Sent: true, Err: err}
 	}
+	// Another call's answer may not even be read: its length is not ours.
+	if got := resp.Header.Values(call.Repeats); call.Repeats != "" && (len(got) != 1 || got[0] != want) {
+		return nil, true, &Error{Step: "match answer", Sent: true, Err: fmt.Errorf("%s is %q, not %q", call.Repeats, got, want)}
+	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if call.Repeats != "" && !framed {
+		return nil, true, &Error{Step: "match answer", Sent: true, Err: errors.New("the answer has no length")}
+	}
 	body, err := io.ReadAll(resp.Body)
 	resp.Body.Close()
 	if err != nil {
 		return nil, true, &Error{Step: "read body", Sent: true, Err: err}
 	}
-	if want := call.sent(call.Repeats); call.Repeats != "" && resp.Header.Get(call.Repeats) != want {
-		return nil, true, &Error{Step: "match answer", Sent: true, Err: fmt.Errorf("%s is %q, not %q", call.Repeats, resp.Header.Get(call.Repeats), want)}
-	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		resp.Header.Set("Connection", "close")
+	if n := c.br.Buffered(); call.Repeats != "" && n > 0 {
+		return nil, true, &Error{Step: "match answer", Sent: true, Err: fmt.Errorf("%d bytes stand behind the answer", n)}
 	}
-	if resp.Close {
+	if resp.Close || !framed {
 		resp.Header.Set("Connection", "close")
 	}
 	return &Answer{resp.StatusCode, resp.Header, body}, true, nil
@@ -363,6 +379,21 @@
 	return &Response{Status: status, Header: []string{"Content-Type", "application/json"}, Body: body}
 }
 
+// Ask sends a call to one of our own processes and reads its answer. The call
+// is named, and only the answer that repeats the name is taken.
+func (p *Pool) Ask(ctx context.Context, addr, path string, body []byte) (*Answer, error) {
+	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Body: body, Repeats: headerCall, Idempotent: Idempotent[path]})
+	got := 0
+	if a != nil {
+		got = len(a.Body)
+	}
+	p.note(path, len(body)+got)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return a, nil
+}
+
 // Post sends JSON, with raw bytes behind it on a new line, to one of our own
 // processes and reads JSON back.
 func (p *Pool) Post(ctx context.Context, addr, path string, in any, raw []byte, out any) error {
@@ -373,14 +404,9 @@
 	if raw != nil {
 		body = append(append(body, '\n'), raw...)
 	}
-	a, err := p.Do(ctx, addr, &Call{Method: "POST", Target: path, Host: addr, Body: body})
-	got := 0
-	if a != nil {
-		got = len(a.Body)
-	}
-	p.note(path, len(body)+got)
+	a, err := p.Ask(ctx, addr, path, body)
 	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+		return err
 	}
 	if a.Status/100 != 2 {
 		return &Error{Step: path, Peer: addr, Sent: true, Err: &Status{a.Status, string(bytes.TrimSpace(a.Body))}}
@@ -400,17 +426,6 @@
 	return front, raw
 }
 
-// Mux answers the calls of our own processes by their path.
-type Mux map[string]Handler
-
-// Handle is the mux as a handler.
-func (m Mux) Handle(ctx context.Context, r *Request) *Response {
-	if h := m[r.URL.Path]; h != nil {
-		return h(ctx, r)
-	}
-	return Problem(404, "no such call: "+r.URL.Path)
-}
-
 // Method wraps a function of JSON to JSON as a handler.
 func Method[In, Out any](f func(ctx context.Context, in *In, raw []byte) (*Out, error)) Handler {
 	return func(ctx context.Context, r *Request) *Response {
