Partition: a late batch gives no lease back; an earlier handover does not end a later one

Cause: a batch that gives a lease back, held up on its way and taken after a later batch had been granted one, made the backup forget that lease: as the next primary it could have delivered while the former one still might. A handover that was asked for twice let the partition go on contact/4 after the first answer, though the steward relies on the second.

Change: batches of a link are numbered, with a random part for the life of the sender. A lease is given back only by the life that has it, and by no batch from before. Each handover call has a number, and only the newest lets go.

Both tests fail with their check taken out.

--- a/internal/partition/copy.go
+++ b/internal/partition/copy.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -16,10 +17,19 @@
 // which nobody waits, go with the next of them or with the next lease: a call
 // for each would be most of the calls in a large fleet.
 type link struct {
-	peer string
-	wake chan struct{}
+	peer   string
+	wake   chan struct{}
+	number int64 // of the last batch
 }
 
+// lives is how many batches a link may number before it counts as another life
+// of the sender: its number begins with a random part.
+const lives = int64(1) << 28
+
+// late tells whether a batch was sent before another one that was taken. Of
+// batches of two lives nobody can tell; they count as in order.
+func late(number, taken int64) bool { return number/lives == taken/lives && number < taken }
+
 func (l *link) nudge() {
 	select {
 	case l.wake <- struct{}{}:
@@ -39,7 +49,7 @@
 		s.links[peer].nudge()
 		return
 	}
-	l := &link{peer: peer, wake: make(chan struct{}, 1)}
+	l := &link{peer: peer, wake: make(chan struct{}, 1), number: rand.Int64N(1<<20) * lives}
 	s.links[peer] = l
 	l.nudge()
 	s.tasks.Go(func() { s.send(l) })
@@ -48,9 +58,10 @@
 // Batch is what a primary sends to a backup. The bodies stand behind it in the
 // order of the records.
 type Batch struct {
-	From  string  `json:"from"`
-	Now   int64   `json:"now"` // the sender's clock: machines may not agree on the time
-	Parts []Share `json:"parts"`
+	From   string  `json:"from"`
+	Number int64   `json:"no"`  // rises with each batch of a life of the sender
+	Now    int64   `json:"now"` // the sender's clock: machines may not agree on the time
+	Parts  []Share `json:"parts"`
 }
 
 // Share is one partition's part of a batch.
@@ -111,6 +122,8 @@
 		if len(sent) == 0 {
 			continue
 		}
+		l.number++
+		batch.Number = l.number
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(s.ctx, s.Lease())
 		var out Copied
@@ -285,10 +298,14 @@
 			s.put(p, r)
 			s.write(p, r, nil)
 		}
-		if x.Release {
-			p.granted = time.Time{}
-		} else {
-			p.granted = time.Now().Add(s.Lease())
+		// A lease is given back by the life that has it, and not by a batch from
+		// before it was granted: its holder may deliver by the later one.
+		switch {
+		case late(b.Number, p.batch):
+		case !x.Release:
+			p.granted, p.batch = time.Now().Add(s.Lease()), b.Number
+		case b.Number/lives == p.batch/lives:
+			p.granted, p.batch = time.Time{}, b.Number
 		}
 		out.Parts = append(out.Parts, CopiedShare{Number: p.number, Digest: p.digest, Count: p.count})
 	}
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -11,9 +11,11 @@
 func (s *Set) Freeze(ctx context.Context, want map[int]int64, idle func(n int) bool) map[int]int64 {
 	out := map[int]int64{}
 	s.mu.Lock()
+	s.freezes++
+	freeze := s.freezes
 	for n, epoch := range want {
 		if n < len(s.parts) && s.parts[n].epoch == epoch && s.parts[n].primary == s.Self {
-			s.parts[n].frozen = true
+			s.parts[n].frozen, s.parts[n].freeze = true, freeze
 		} else {
 			delete(want, n)
 		}
@@ -46,8 +48,8 @@
 		case <-time.After(step):
 		}
 	}
-	s.thaw(out, s.Contact/4) // longer than the steward relies on it
-	s.thaw(want, 0)
+	s.thaw(freeze, out, s.Contact/4) // longer than the steward relies on it
+	s.thaw(freeze, want, 0)
 	return out
 }
 
@@ -76,8 +78,9 @@
 	return true
 }
 
-// thaw lets partitions go on that are still led here after a while.
-func (s *Set) thaw(list map[int]int64, after time.Duration) {
+// thaw lets partitions go on that are still led here after a while, unless they
+// were asked for again: the steward may rely on that answer for longer.
+func (s *Set) thaw(freeze int64, list map[int]int64, after time.Duration) {
 	if len(list) == 0 {
 		return
 	}
@@ -85,7 +88,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for n, epoch := range list {
-			if p := s.parts[n]; p.epoch == epoch && p.frozen {
+			if p := s.parts[n]; p.epoch == epoch && p.frozen && p.freeze == freeze {
 				p.frozen, p.closed = false, false
 				for _, r := range p.replicas {
 					r.released = false
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"saltreel/internal/core"
@@ -225,6 +226,65 @@
 	}
 }
 
+func TestALateBatchGivesNoLeaseBack(t *testing.T) {
+	s := open(t)
+	granted := func(number int64, release bool) bool {
+		b := &Batch{From: "other", Number: number, Parts: []Share{{Number: 0, Epoch: 5, Release: release}}}
+		if out, err := s.HandleCopy(t.Context(), b, nil); err != nil || out.Parts[0].Stale {
+			t.Fatalf("batch %d: %+v %v", number, out, err)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return time.Now().Before(s.parts[0].granted)
+	}
+	const other = 7 * lives
+	for _, c := range []struct {
+		number        int64
+		release, want bool
+		why           string
+	}{
+		{other + 1, false, true, "granted"},
+		{other + 3, false, true, "granted again, while batch 2 is on its way"},
+		{other + 2, true, true, "batch 2 comes late"},
+		{2*other + 1, true, true, "of another life"},
+		{other + 4, true, false, "given back"},
+		{other + 3, false, false, "batch 3 once more"},
+		{other + 4, true, false, "batch 4 once more"},
+		{2*other + 2, false, true, "granted to a new life"},
+		{2*other + 3, true, false, "given back by it"},
+	} {
+		if got := granted(c.number, c.release); got != c.want {
+			t.Errorf("%s: granted %v", c.why, got)
+		}
+	}
+}
+
+func TestAHandoverAskedForTwiceLastsAsTheSecondSays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := open(t)
+		s.Place(core.Placement{Version: 2, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
+			Partitions: []core.Partition{{Epoch: 6, Primary: "me"}}})
+		frozen := func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.parts[0].frozen && s.parts[0].closed
+		}
+		for _, which := range []string{"first", "second"} {
+			if out := s.Freeze(t.Context(), map[int]int64{0: 6}, func(int) bool { return true }); len(out) != 1 {
+				t.Fatalf("the %s call: %v", which, out)
+			}
+			time.Sleep(s.Contact * 3 / 16)
+		}
+		if !frozen() { // contact/4 after the first
+			t.Error("the first lets the partition go on while the second is relied on")
+		}
+		time.Sleep(s.Contact / 8)
+		if frozen() {
+			t.Error("no new placement came, and the partition does not go on")
+		}
+	})
+}
+
 func TestADiskThatHangsOrSlowsDownIsIll(t *testing.T) {
 	d := &disk{}
 	for what, c := range map[string]struct {
--- a/internal/partition/set.go
+++ b/internal/partition/set.go
@@ -52,6 +52,7 @@
 	started   time.Time
 	held      int64 // memory of the records, about
 	full      bool
+	freezes   int64 // calls that froze partitions
 	tasks     sync.WaitGroup
 }
 
@@ -76,10 +77,12 @@
 	waiting  map[string]*accepted // accepted here, not yet certain
 	frozen   bool                 // no new deliveries
 	closed   bool                 // no new messages either
+	freeze   int64                // which call froze it last
 	moved    chan struct{}
 
 	// At the backup:
 	granted time.Time // the primary may deliver until then
+	batch   int64     // the newest that granted it or gave it back
 }
 
 // replica is what the primary knows of one backup.
