Cluster: answers of other calls among the right ones mislead nobody

A cluster under traffic and changes of configuration, with one answer in 15 between our processes behind another call's, before it, twice, or cut short. Each message is taken, run and told of as its own, and the last configuration is read back.

--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -21,6 +21,7 @@
 	dark      map[string]bool    // by IP: packets to and from it are lost
 	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
+	meddle    func(b []byte) []byte // makes something else of what is written
 }
 
 func newNetwork() *network {
@@ -190,10 +191,17 @@
 	n := c.owner.net
 	n.mu.Lock()
 	lost := n.loses(c.owner.ip, c.peer.ip)
+	meddle := n.meddle
 	n.mu.Unlock()
 	if lost {
 		return len(b), nil
 	}
+	if meddle != nil {
+		if _, err := c.out.write(meddle(b)); err != nil {
+			return 0, err
+		}
+		return len(b), nil
+	}
 	return c.out.write(b)
 }
 
--- /dev/null
+++ b/internal/cluster/wire_test.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestAnswersOfOtherCallsMisleadNobody lets a few answers in a hundred between
+// our processes come behind another call's, before it, twice, or cut short.
+// Every message must be taken, run and told of as its own all the same, and
+// every configuration read back as it was acknowledged.
+func TestAnswersOfOtherCallsMisleadNobody(t *testing.T) {
+	run(t, func(w *world) {
+		plain := w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		var mu sync.Mutex
+		rng := rand.New(rand.NewPCG(5, 13))
+		var old [][]byte // answers that were given
+		done := map[string]int{}
+		rate := 60
+		w.net.mu.Lock()
+		w.net.meddle = func(b []byte) []byte {
+			if !bytes.HasPrefix(b, []byte("HTTP/1.1 200")) || !bytes.Contains(b, []byte("\r\nCall: ")) {
+				return b
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			b = bytes.Clone(b)
+			other := b
+			if len(old) > 0 {
+				other = old[rng.IntN(len(old))]
+			}
+			if old = append(old, b); len(old) > 64 {
+				old = old[1:]
+			}
+			switch rng.IntN(rate) {
+			case 0:
+				done["another behind"]++
+				return slices.Concat(b, other)
+			case 1:
+				done["another before"]++
+				return slices.Concat(other, b)
+			case 2:
+				done["twice"]++
+				return slices.Concat(b, b)
+			case 3:
+				done["cut short"]++
+				return b[:len(b)-1]
+			}
+			return b
+		}
+		w.net.mu.Unlock()
+		var last []byte
+		names := w.during(plain, func() {
+			for range 3 {
+				time.Sleep(time.Second)
+				last = w.change("among wrong answers", options{})
+			}
+		})
+		w.readBack("the last one", last)
+		mu.Lock()
+		rate = 24
+		mu.Unlock()
+		for id, name := range names {
+			if code, body := w.ask("z1", "/v1/message/"+name); code == 200 && !strings.Contains(body, `"seal-`+id+`"`) {
+				t.Errorf("of %s is told %s", id, body)
+			}
+		}
+		if len(names) < 100 || len(done) != 4 {
+			t.Errorf("%d messages were taken, meddled: %v", len(names), done)
+		}
+		t.Logf("%d messages were taken, meddled: %v", len(names), done)
+	})
+}
