Operator's calls: say whether an order was refused, not taken, or is unclear

An order that had no clear answer ended with the last error of the last core, the same text whether it may be in force or not, and "config put" could not be told from a refusal.

The caller remembers whether any try may have got through (no answer, 500, 502, 504) and then ends with an Unclear, even if a later core certainly took nothing. The text names the --if-match to send the same file again with: without it a second try would build on whatever came in between. A 412 says that the change was not taken, after unclear tries too, since the cores acknowledge each one that was. "put" says "was taken" instead of "is in force": after an order sent again a later one may be.

--- a/cmd/saltreel-control/main.go
+++ b/cmd/saltreel-control/main.go
@@ -88,7 +88,7 @@
 		if err := c.PutConfiguration(cmd.Context(), raw, match); err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d is in force\n", conf.Revision)
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d was taken\n", conf.Revision)
 		return err
 	}}
 	put.Flags().Int64Var(&match, "if-match", 0, "the revision that it builds on (default: the one in force)")
--- a/internal/operator/caller.go
+++ b/internal/operator/caller.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,20 +24,30 @@
 
 func (e errClear) Unwrap() error { return e.Status }
 
-// Do sends one order. It follows 307 twice and moves on to another core after
-// a failure, a 5xx, a 408 or a 429.
+// Unclear is the error of an order that had no clear answer: it may be in
+// force, or come into force yet. The very same order may be sent again, by
+// whom and however late within the day: it is acknowledged if it was taken.
+type Unclear struct{ Err error }
+
+func (e *Unclear) Error() string { return "no clear answer: " + e.Err.Error() }
+func (e *Unclear) Unwrap() error { return e.Err }
+
+// Do sends one order. It follows 307 twice, and sends the order as it is to
+// another core after a failure, a 5xx, a 408 or a 429, until an answer is
+// clear. If none was, the error is an Unclear where the order may have got
+// through at any of the tries.
 func (c *Caller) Do(ctx context.Context, call wire.Call) ([]byte, error) {
 	if len(c.Controls) == 0 {
 		return nil, errors.New("no control address is given")
 	}
-	var last error
+	var last, unclear error
 	pause := 50 * time.Millisecond
 	for try := 0; try < 4*len(c.Controls); try++ {
 		if try > 0 {
 			select {
 			case <-time.After(pause):
 			case <-ctx.Done():
-				return nil, last
+				return nil, cmp.Or(unclear, last)
 			}
 			pause *= 2
 		}
@@ -44,13 +55,30 @@
 		if err == nil {
 			return body, nil
 		}
-		last = err
 		var clear errClear
-		if errors.As(err, &clear) || ctx.Err() != nil {
+		if errors.As(err, &clear) {
 			return nil, err
 		}
+		last = err
+		if call.Method != "GET" && !untaken(err) {
+			unclear = &Unclear{err}
+		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
-	return nil, last
+	return nil, cmp.Or(unclear, last)
+}
+
+// untaken tells whether it is certain that a try did nothing.
+func untaken(err error) bool {
+	switch wire.StatusOf(err) {
+	case 0:
+		return wire.NotSent(err)
+	case 408, 429, 503:
+		return true
+	}
+	return false
 }
 
 func (c *Caller) once(ctx context.Context, addr string, call wire.Call) ([]byte, error) {
@@ -82,11 +110,23 @@
 	return nil, &wire.Error{Step: "redirect", Peer: addr, Err: errors.New("too many redirects")}
 }
 
-// PutConfiguration sends a configuration that builds on a revision.
+// PutConfiguration sends a configuration that builds on a revision. The error
+// says what the operator is to do.
 func (c *Caller) PutConfiguration(ctx context.Context, raw []byte, match int64) error {
 	_, err := c.Do(ctx, wire.Call{Method: "PUT", Target: "/v1/configuration", Body: raw,
 		Header: []string{"If-Match", strconv.FormatInt(match, 10), "Content-Type", "application/json"}})
-	return err
+	var unclear *Unclear
+	switch code := wire.StatusOf(err); {
+	case err == nil:
+		return nil
+	case errors.As(err, &unclear):
+		return fmt.Errorf("it is unclear whether the configuration is in force; send the same file again with --if-match %d: %w", match, err)
+	case code == 412: // the cores know each one that was taken, so this holds after unclear tries too
+		return fmt.Errorf("the configuration was not taken, another change came first; build on the one in force: %w", err)
+	case code/100 == 4 && code != 408 && code != 429:
+		return fmt.Errorf("the configuration was not taken, it is refused: %w", err)
+	}
+	return fmt.Errorf("the configuration was not taken, no core could take it; send the same file again with --if-match %d: %w", match, err)
 }
 
 // Get reads what a path tells.
@@ -98,5 +138,8 @@
 func (c *Caller) Retire(ctx context.Context, node string, deadline time.Duration) error {
 	_, err := c.Do(ctx, wire.Call{Method: "POST", Target: "/v1/retire/" + url.PathEscape(node),
 		Body: fmt.Appendf(nil, `{"deadline-s":%g}`, deadline.Seconds()), Header: []string{"Content-Type", "application/json"}})
+	if errors.As(err, new(*Unclear)) {
+		return fmt.Errorf("it is unclear whether %s is being emptied; send the order again: %w", node, err)
+	}
 	return err
 }
