--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,7 +33,6 @@
 const (
 	docConfiguration = "configuration"
 	docPlacement     = "placement"
-	docTaken         = "taken" // which configurations were acknowledged
 )
 
 // Core is one core machine's process.
@@ -67,8 +66,9 @@
 	published chain.Documents // as last told to the nodes
 	decoded   []byte          // a placement as the chain holds it, and what it says
 	decodedAs Placement
-	spreading []Item           // what the other cores are to hear next
-	kept      map[string]int64 // leavings on this disk: 1 draining, 2 gone
+	refusing  map[string]time.Time // cores whose machine said that none runs there, and when
+	spreading []Item               // what the other cores are to hear next
+	kept      map[string]int64     // leavings on this disk: 1 draining, 2 gone
 
 	wake    chan struct{}
 	probing map[string]time.Time // since when a node is asked whether it runs
@@ -431,18 +431,11 @@
 	}
 	if err != nil {
 		c.log.Printf("core: beat of %s: %v", id, err)
-		return answerError(err)
+		return wire.Problem(503, err.Error()) // whatever an inner call was told: another core may take it
 	}
 	return wire.JSON(200, struct{}{})
 }
 
-func answerError(err error) *wire.Response {
-	if code := wire.StatusOf(err); code != 0 {
-		return wire.Problem(code, err.Error())
-	}
-	return wire.Problem(503, err.Error())
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -3,11 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"slices"
+	"net"
 	"time"
 
 	"saltreel/internal/chain"
@@ -24,26 +23,110 @@
 	Retire        string     `json:"retire,omitempty"`
 }
 
-// Proposed answers a proposal.
-type Proposed struct{}
+// Proposed answers a proposal. A refusal travels as a field: the status of an
+// answer may be that of any call on the way.
+type Proposed struct {
+	Refusal *Refusal `json:"refusal,omitempty"`
+}
+
+// Refusal is what the state itself says against an order, given only once the
+// tail holds that state. Nothing else may refuse an order: one that failed on
+// the way may be in force all the same.
+type Refusal struct {
+	Code int    `json:"code"` // as HTTP has it
+	Text string `json:"text"`
+}
+
+func (r *Refusal) Error() string { return fmt.Sprintf("refused %d: %s", r.Code, r.Text) }
+
+// Unreached is the error of a call that certainly did nothing: it did not come
+// as far as the state.
+type Unreached struct{ Err error }
 
-// Propose brings a write to the head, wherever it is.
+func (e *Unreached) Error() string { return e.Err.Error() }
+func (e *Unreached) Unwrap() error { return e.Err }
+
+var errNoView = &Unreached{errors.New("no view is known")}
+
+// Propose brings a write to the head, wherever it is. The error is a Refusal,
+// an Unreached, or something else: then the write may take effect or not.
 func (c *Core) Propose(ctx context.Context, p Proposal) error {
-	ctx, cancel := context.WithTimeout(ctx, c.contact/4)
+	wait := c.Wait()
+	if p.Placement != nil { // nobody waits for it but the steward
+		wait = c.contact / 4
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	head := c.chain.Head()
 	if head == "" {
-		return &wire.Status{Code: 503, Text: "no view is known"}
+		return errNoView
 	}
 	if head == c.self {
-		_, err := c.handlePropose(ctx, &p, nil)
+		return c.decide(ctx, &p)
+	}
+	var out Proposed
+	if err := c.ask(ctx, head, "/propose", p, &out); err != nil {
 		return err
 	}
-	return c.pool.Post(ctx, head, "/propose", p, nil, nil)
+	if out.Refusal != nil {
+		return out.Refusal
+	}
+	return nil
 }
 
-func (c *Core) handlePropose(ctx context.Context, p *Proposal, _ []byte) (*Proposed, error) {
+// ask calls another core for the operator, and remembers whether its machine
+// said that no core runs there.
+func (c *Core) ask(ctx context.Context, addr, path string, in, out any) error {
+	err := c.pool.Post(ctx, addr, path, in, nil, out)
+	c.mu.Lock()
+	if c.refusing == nil {
+		c.refusing = map[string]time.Time{}
+	}
+	if wire.Refused(err) {
+		c.refusing[addr] = time.Now()
+	} else {
+		delete(c.refusing, addr)
+	}
+	c.mu.Unlock()
+	if wire.NotSent(err) {
+		return &Unreached{err}
+	}
+	return err
+}
+
+// Steady tells whether this core heard from its chain lately.
+func (c *Core) Steady() bool { return c.chain.Steady() }
+
+// Elsewhere is the control-plane address of the core that answers writes, or
+// reads, in the view known here. It is "" if that is this core, if none is
+// known, or if its machine said just now that no core runs there.
+func (c *Core) Elsewhere(write bool) string {
+	addr := c.chain.Tail()
+	if write {
+		addr = c.chain.Head()
+	}
+	c.mu.Lock()
+	at, refused := c.refusing[addr]
+	c.mu.Unlock()
+	if addr == "" || addr == c.self || refused && time.Since(at) < c.contact/4 {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(c.set.Listeners.ControlPlane) // alike on all machines
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// decide makes a write at the head.
+func (c *Core) decide(ctx context.Context, p *Proposal) error {
+	reached := false
 	err := c.chain.Propose(ctx, func(docs chain.Documents) (chain.Documents, error) {
+		reached = true
 		switch {
 		case p.Configuration != nil:
 			return decideConfiguration(docs, p)
@@ -52,53 +135,59 @@
 		case p.Retire != "":
 			return c.decideRetire(docs, p.Retire, int(c.set.FaultTolerance.HostFailures))
 		}
-		return nil, &wire.Status{Code: 400, Text: "the proposal is empty"}
+		return nil, &Refusal{400, "the proposal is empty"}
 	})
-	if p.Configuration != nil && wire.StatusOf(err) == 400 {
+	if err != nil && !reached {
+		return &Unreached{err}
+	}
+	var no *Refusal
+	if p.Configuration != nil && errors.As(err, &no) && no.Code == 400 {
 		c.log.Printf("core: a configuration of %d bytes is refused: %v", len(p.Configuration), err)
 	}
-	return &Proposed{}, err
+	return err
 }
 
-// remembered is how many configurations that were taken are known as such.
-const remembered = 64
-
-// taken lists the configurations that were in force, by hash, newest last.
-func taken(docs chain.Documents) (list []string) {
-	if raw := docs[docTaken]; raw != nil {
-		_ = json.Unmarshal(raw, &list)
+func (c *Core) handlePropose(ctx context.Context, p *Proposal, _ []byte) (*Proposed, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.contact/4) // whoever sent it has left by then
+	defer cancel()
+	err := c.decide(ctx, p)
+	var no *Refusal
+	if errors.As(err, &no) {
+		return &Proposed{no}, nil
+	}
+	if err != nil {
+		return nil, errors.New(err.Error()) // the status of a call further on says nothing of this one
 	}
-	return list
+	return &Proposed{}, nil
 }
 
 func decideConfiguration(docs chain.Documents, p *Proposal) (chain.Documents, error) {
-	current := docs[docConfiguration]
-	sum := sha256.Sum256(p.Configuration)
-	hash, list := hex.EncodeToString(sum[:]), taken(docs)
-	if slices.Contains(list, hash) {
+	current, hash := docs[docConfiguration], hashOf(p.Configuration)
+	if isTaken(docs, hash) || bytes.Equal(current, p.Configuration) {
 		return nil, nil // taken before; the answer waits until the tail has it
 	}
 	next, err := configuration.Parse(p.Configuration)
 	if err != nil {
-		return nil, &wire.Status{Code: 400, Text: err.Error()}
+		return nil, &Refusal{400, err.Error()}
 	}
 	var revision int64
 	if current != nil {
+		// What another version of this program took may not pass the check of
+		// this one; the next change mends that, so it must not fail here.
 		old, err := configuration.Parse(current)
-		if err != nil {
+		if old == nil {
 			return nil, fmt.Errorf("the configuration in force: %w", err)
 		}
 		revision = old.Revision
 	}
 	if p.Match != revision {
-		return nil, &wire.Status{Code: 412, Text: fmt.Sprintf("revision %d is in force, not %d", revision, p.Match)}
+		return nil, &Refusal{412, fmt.Sprintf("revision %d is in force, not %d", revision, p.Match)}
 	}
 	if next.Revision <= revision {
-		return nil, &wire.Status{Code: 400, Text: fmt.Sprintf("revision %d is not higher than %d", next.Revision, revision)}
+		return nil, &Refusal{400, fmt.Sprintf("revision %d is not higher than %d", next.Revision, revision)}
 	}
-	list = append(list, hash)
-	raw, err := json.Marshal(list[max(0, len(list)-remembered):])
-	return chain.Documents{docConfiguration: p.Configuration, docTaken: raw}, err
+	key, block := take(docs, hash)
+	return chain.Documents{docConfiguration: p.Configuration, key: block}, nil
 }
 
 // placementOf decodes the placement in the state, once for all who ask for the
@@ -133,7 +222,7 @@
 		return nil, err
 	}
 	if next.Version != cur.Version+1 || next.Term < cur.Term {
-		return nil, &wire.Status{Code: 409, Text: fmt.Sprintf("placement %d of term %d is in force", cur.Version, cur.Term)}
+		return nil, &Refusal{409, fmt.Sprintf("placement %d of term %d is in force", cur.Version, cur.Term)}
 	}
 	raw, err := json.Marshal(next)
 	return chain.Documents{docPlacement: raw}, err
@@ -146,10 +235,10 @@
 	}
 	store, ok := cur.Stores[name]
 	if !ok {
-		return nil, &wire.Status{Code: 404, Text: "no store is called " + name}
+		return nil, &Refusal{404, "no store is called " + name}
 	}
 	if store.Retire != "" {
-		return nil, nil
+		return nil, nil // ordered before, or done: a store stays listed, and retired
 	}
 	left := 0
 	for other, s := range cur.Stores {
@@ -158,7 +247,7 @@
 		}
 	}
 	if left < failures+1 {
-		return nil, &wire.Status{Code: 409, Text: fmt.Sprintf("%d stores would remain, %d are needed", left, failures+1)}
+		return nil, &Refusal{409, fmt.Sprintf("%d stores would remain, %d are needed", left, failures+1)}
 	}
 	next := cur.Clone()
 	store.Retire = RetireActive
@@ -175,11 +264,11 @@
 
 // Read gets the state from the tail.
 func (c *Core) Read(ctx context.Context) (State, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.contact/5)
+	ctx, cancel := context.WithTimeout(ctx, c.Wait())
 	defer cancel()
 	tail := c.chain.Tail()
 	if tail == "" {
-		return State{}, &wire.Status{Code: 503, Text: "no view is known"}
+		return State{}, errNoView
 	}
 	if tail == c.self {
 		s, err := c.handleRead(ctx, nil, nil)
@@ -189,13 +278,13 @@
 		return *s, nil
 	}
 	var s State
-	err := c.pool.Post(ctx, tail, "/read", struct{}{}, nil, &s)
+	err := c.ask(ctx, tail, "/read", struct{}{}, &s)
 	return s, err
 }
 
 func (c *Core) handleRead(ctx context.Context, _ *struct{}, _ []byte) (*State, error) {
 	docs, err := c.chain.Read(ctx)
-	return &State{docs}, err
+	return &State{withoutTaken(docs)}, err
 }
 
 // Configuration reads the newest configuration, its bytes as they came; nil
@@ -217,13 +306,14 @@
 	}
 	store, ok := p.Stores[name]
 	if !ok {
-		return "", &wire.Status{Code: 404, Text: "no store is called " + name}
+		return "", &Refusal{404, "no store is called " + name}
 	}
 	if store.Retire == "" {
-		return "", &wire.Status{Code: 404, Text: name + " is not being emptied"}
+		return "", &Refusal{404, name + " is not being emptied"}
 	}
 	return store.Retire, nil
 }
 
-// Wait is how long the operator's calls may take here.
-func (c *Core) Wait() time.Duration { return c.contact / 5 }
+// Wait is how long the operator's calls may take here: callers go on after a
+// second of silence, and contact-ms is about six.
+func (c *Core) Wait() time.Duration { return c.contact * 3 / 20 }
