A life that passes for over wrongly comes back once the other one is silent

Cause: with the lives that are over kept for good, a late beat of a life that this core never heard would have put the real one among them, and its beats would have been late for ever.

Test: TestLivesOfNodesDoNotRestOnClocks, with a late beat of an unknown life.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -89,7 +89,8 @@
 		switch {
 		case e.node.Life == n.Life:
 			it.Version.Major = e.version.Major
-		case e.former == n.Life && time.Since(e.ended) < r.late, slices.Contains(e.over, n.Life): // a late beat
+		case e.former == n.Life && time.Since(e.ended) < r.late,
+			slices.Contains(e.over, n.Life) && time.Since(e.seen) < r.late: // a late beat, while the next life is heard
 			r.mu.Unlock()
 			return it, false
 		default:
--- a/internal/core/registry_test.go
+++ b/internal/core/registry_test.go
@@ -29,12 +29,20 @@
 		if of(other) != "two" || !first.Version.Less(second.Version) {
 			t.Fatalf("the second life is not the newer one: %q, %+v", of(other), second.Version)
 		}
-		for _, late := range []time.Duration{0, 20 * time.Second, time.Hour} { // as long as a link may hold it up
+		for n, late := range []time.Duration{0, 20 * time.Second, time.Hour} { // as long as a link may hold it up
 			time.Sleep(late)
+			beat(other, "two", int64(n+2))
 			if beat(other, "one", 6); of(other) != "two" {
 				t.Errorf("a beat of the first life that came %v late brought it back", late)
 			}
 		}
+		// Where it passes for the newer one, since this core never heard it, the
+		// real one comes back with a beat of its own.
+		beat(other, "zero", 9)
+		time.Sleep(2 * time.Second)
+		if beat(other, "two", 5); of(other) != "two" {
+			t.Errorf("after a late beat of an unknown life it is %q", of(other))
+		}
 		// The other watcher saw only the first life so far: the second wins there
 		// too, and a third that both see at once is the same for both.
 		ahead.put(second)
