Passes may be sent again by the wire, now that they have an order

A reset of a kept connection in the middle of an order answered 504 where it had been hidden before. A doubled pass has the stamp and the sequence of the first: a write that is there is only handed on, and the last test of TestAWholeStateThatComesLateIsRefused shows it.

--- a/internal/wire/calls.go
+++ b/internal/wire/calls.go
@@ -28,6 +28,7 @@
 	"/beat":           true,
 	"/body":           true,
 	"/chain/adopt":    true,
+	"/chain/pass":     true,
 	"/chain/standing": true,
 	"/digest":         true,
 	"/duty":           true,
