State file: a failed commit is followed by a new file, read anew; damage is moved aside

Cause: a commit that bbolt reports as failed may be on the disk all the same, while the chain put its memory back. The next write then took the same number, and the file held documents of both.

Ruled out: writing on after the next sync that works.

Change: internal/statefile. After a commit that failed no call is taken until the file has been copied into a new one, synced, renamed, its folder synced, opened and loaded; chain and leavings load what it says. Until then the core gives no standing, vote, pass or read. A file that can be read but not understood is moved to core.db.damaged-N with one line, also when that shows in use (the core is then made anew in the same process); errors of the disk are not damage. A core whose disk refuses at the start waits, says so once, answers 503 at its control listener and ends at SIGTERM. A file gets its name when it is whole, and folders are synced up to the first that was there; errors of that count. A core whose file was moved aside founds no view, whatever bootstrap says.

A write that was refused and is on the disk is from then on a write that has not reached the tail: it is passed on and becomes part of the state on all members, or goes with the head.

OpenDisk is now statefile.OpenDatabase; the test of the store that called it calls that.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -14,6 +14,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/ballot"
+	"saltreel/internal/statefile"
 	"saltreel/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 	// Ready tells whether this core knows what a voter must know.
 	Ready func() bool
 
-	db *bbolt.DB
+	db *statefile.File
 
 	write chan struct{} // one pass or change of view at a time
 
@@ -78,7 +79,6 @@
 	back      int64                // the last pass that came back whole, at the head
 	answers   [4]through           // the last passes that this member answered, newest first
 	heard     time.Time            // when a pass last went through here
-	refused   error                // of the last write, if the disk did not take it
 	answered  map[Member]time.Time // when a voter last answered
 	strangers map[Member]bool      // voters whose disk was found to be another, and told of
 	life      int64                // of this process, at random
@@ -94,6 +94,10 @@
 func (c *Chain) lock(ctx context.Context) error {
 	select {
 	case c.write <- struct{}{}:
+		if err := c.works(); err != nil {
+			c.unlock()
+			return err
+		}
 		return nil
 	case <-ctx.Done():
 		return &wire.Status{Code: 503, Text: "the chain is busy: " + ctx.Err().Error()}
@@ -277,7 +281,7 @@
 		}
 		return c.saveView(tx)
 	})
-	if c.refused = err; err != nil {
+	if err != nil {
 		c.view, c.sequence, c.whole, c.active = view, before, whole, false
 		return fmt.Errorf("write control state: %w", err)
 	}
@@ -385,6 +389,9 @@
 	if _, more := view.next(c.Self); more || view.at(c.Self) < 0 {
 		return nil, &wire.Status{Code: 421, Text: "this machine is not the tail"}
 	}
+	if err := c.works(); err != nil {
+		return nil, err
+	}
 	if !active {
 		return nil, &wire.Status{Code: 503, Text: "the view is not yet in force"}
 	}
--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -13,6 +13,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/ballot"
+	"saltreel/internal/statefile"
 	"saltreel/internal/wire"
 )
 
@@ -21,18 +22,17 @@
 // open opens the chain of one core of a, b and c, whose disk is a file.
 func open(t *testing.T, path, self string) *Chain {
 	t.Helper()
-	db, err := bbolt.Open(path, 0o600, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { db.Close() })
 	c := &Chain{
 		Self: Member{Address: self}, Losses: 1, Contact: contact, Log: log.New(io.Discard, "", 0), Voter: &ballot.Voter{},
 		Prepare: func(Documents) {}, Committed: func(Documents) {}, Others: func() []Member { return nil }, Ready: func() bool { return true },
 	}
-	if err := c.Open(db, []string{"a", "b", "c"}); err != nil {
+	file := &statefile.File{Path: path, Load: c.Load, Warn: t.Logf,
+		Prepare: func(tx *bbolt.Tx) error { return c.Found(tx, []string{"a", "b", "c"}) }}
+	c.Open(file)
+	if err := file.Open(); err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { file.Close() })
 	return c
 }
 
--- a/internal/chain/disk.go
+++ b/internal/chain/disk.go
@@ -14,6 +14,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/ballot"
+	"saltreel/internal/statefile"
 	"saltreel/internal/wire"
 )
 
@@ -23,44 +24,74 @@
 	bucketVotes = []byte("votes")
 )
 
-// Open reads the state on disk. With no state there, founders (if any) become
-// the first view.
-func (c *Chain) Open(db *bbolt.DB, founders []string) error {
-	c.db, c.docs, c.write, c.answered = db, Documents{}, make(chan struct{}, 1), map[Member]time.Time{}
+// Open takes the file whose state Found makes and Load reads.
+func (c *Chain) Open(file *statefile.File) {
+	c.db, c.docs, c.write, c.answered = file, Documents{}, make(chan struct{}, 1), map[Member]time.Time{}
 	c.strangers, c.life = map[Member]bool{}, rand.Int64()
-	err := db.Update(func(tx *bbolt.Tx) error {
-		for _, b := range [][]byte{bucketState, bucketDocs, bucketVotes} {
-			if _, err := tx.CreateBucketIfNotExists(b); err != nil {
-				return err
-			}
-		}
-		s := tx.Bucket(bucketState)
-		if raw := s.Get([]byte("disk")); raw != nil {
-			c.Self.Disk = string(raw)
-			if err := json.Unmarshal(s.Get([]byte("view")), &c.view); err != nil {
-				return err
-			}
-			c.sequence, _ = strconv.ParseInt(string(s.Get([]byte("sequence"))), 10, 64)
-			c.whole, _ = strconv.ParseInt(string(s.Get([]byte("whole"))), 10, 64)
-			return tx.Bucket(bucketDocs).ForEach(func(k, v []byte) error {
-				c.docs[string(k)] = bytes.Clone(v)
-				return nil
-			})
+	c.Voter.Disk = (*votes)(c)
+}
+
+// Found makes the state on an empty disk. There founders (if any) become the
+// first view.
+func (c *Chain) Found(tx *bbolt.Tx, founders []string) error {
+	for _, b := range [][]byte{bucketState, bucketDocs, bucketVotes} {
+		if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+			return err
 		}
-		c.Self.Disk = crand.Text()
-		if slices.Contains(founders, c.Self.Address) {
-			c.Self.Disk = founder
-			for _, a := range slices.Sorted(slices.Values(founders)) {
-				c.view.Members = append(c.view.Members, Member{a, founder, 1})
-			}
-			c.view.Number, c.view.Voters, c.whole = 1, c.view.Members, 1
+	}
+	s := tx.Bucket(bucketState)
+	if s.Get([]byte("disk")) != nil {
+		return nil
+	}
+	first := Chain{Self: Member{Disk: crand.Text()}}
+	if slices.Contains(founders, c.Self.Address) {
+		first.Self.Disk = founder
+		for _, a := range slices.Sorted(slices.Values(founders)) {
+			first.view.Members = append(first.view.Members, Member{a, founder, 1})
 		}
-		return errors.Join(s.Put([]byte("disk"), []byte(c.Self.Disk)), c.saveView(tx))
-	})
+		first.view.Number, first.view.Voters, first.whole = 1, first.view.Members, 1
+	}
+	return errors.Join(s.Put([]byte("disk"), []byte(first.Self.Disk)), first.saveView(tx))
+}
+
+// Load reads the state. Install puts it into memory, once no pass is under way:
+// a write that was refused here may be on the disk, and then it is a write like
+// any other that has not reached the tail.
+func (c *Chain) Load(tx *bbolt.Tx) (install func(), err error) {
+	s, docs, view := tx.Bucket(bucketState), Documents{}, View{}
+	disk := string(s.Get([]byte("disk")))
+	if err := json.Unmarshal(s.Get([]byte("view")), &view); err != nil {
+		return nil, fmt.Errorf("the view: %w", err)
+	}
+	sequence, err := strconv.ParseInt(string(s.Get([]byte("sequence"))), 10, 64)
 	if err != nil {
-		return fmt.Errorf("open control state: %w", err)
+		return nil, fmt.Errorf("the number of the last write: %w", err)
+	}
+	whole, err := strconv.ParseInt(string(s.Get([]byte("whole"))), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("the view held in whole: %w", err)
+	}
+	err = tx.Bucket(bucketDocs).ForEach(func(k, v []byte) error {
+		docs[string(k)] = bytes.Clone(v)
+		return nil
+	})
+	return func() {
+		c.write <- struct{}{}
+		defer c.unlock()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.Self.Disk == "" {
+			c.Self.Disk = disk
+		}
+		c.view, c.sequence, c.whole, c.docs, c.active = view, sequence, whole, docs, false
+	}, err
+}
+
+// works tells whether the disk takes writes, and memory says what it does.
+func (c *Chain) works() error {
+	if err := c.db.Err(); err != nil {
+		return &wire.Status{Code: 503, Text: "the disk refuses writes: " + err.Error()}
 	}
-	c.Voter.Disk = (*votes)(c)
 	return nil
 }
 
--- /dev/null
+++ b/internal/chain/disk_test.go
@@ -0,0 +1,97 @@
+package chain
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"saltreel/internal/ballot"
+	"saltreel/internal/statefile"
+)
+
+// alone is a chain of one member on a file.
+func alone(t *testing.T, path string) (*Chain, *statefile.File) {
+	t.Helper()
+	c := &Chain{Self: Member{Address: "a"}, Contact: time.Second, Log: log.New(io.Discard, "", 0), Voter: &ballot.Voter{},
+		Prepare: func(Documents) {}, Committed: func(Documents) {}, Others: func() []Member { return nil }, Ready: func() bool { return true }}
+	f := &statefile.File{Path: path, Warn: t.Logf, Load: c.Load,
+		Prepare: func(tx *bbolt.Tx) error { return c.Found(tx, []string{"a"}) }}
+	c.Open(f)
+	if err := f.Open(); err != nil {
+		t.Fatal(err)
+	}
+	return c, f
+}
+
+func (c *Chain) set(key, value string) error {
+	return c.Propose(context.Background(), func(Documents) (Documents, error) { return Documents{key: []byte(value)}, nil })
+}
+
+// A head whose disk refused a write has it on the disk all the same: what it
+// writes next builds on that, and not beside it under the same number.
+func TestARefusedWriteLeavesMemoryAndDiskTheSame(t *testing.T) {
+	for _, step := range []string{statefile.StepSync, statefile.StepCommit} {
+		synctest.Test(t, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "core.db")
+			c, f := alone(t, path)
+			var full atomic.Bool
+			f.Fault = func(at string) error {
+				if full.Load() && at == step {
+					return syscall.EIO
+				}
+				return nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { f.Tend(ctx, time.Second); close(done) }()
+			if err := c.set("x", "1"); err != nil {
+				t.Fatal(err)
+			}
+			full.Store(true)
+			if err := c.set("x", "2"); err == nil {
+				t.Fatalf("%s: a refused write is confirmed", step)
+			}
+			if _, err := c.HandleStanding(ctx, &Query{Disk: c.Self.Disk}, nil); err == nil {
+				t.Errorf("%s: takes part while the disk refuses", step)
+			}
+			if _, err := c.HandleBallot(ctx, &Ballot{Disk: c.Self.Disk, Call: ballot.Call{Decree: 2, Number: ballot.Number{Round: 1}}}, nil); err == nil {
+				t.Errorf("%s: votes while the disk refuses", step)
+			}
+			if _, err := c.Read(ctx); err == nil {
+				t.Errorf("%s: is read while the disk refuses", step)
+			}
+			full.Store(false)
+			time.Sleep(3 * time.Second)
+			if err := c.set("y", "1"); err != nil {
+				t.Fatal(err)
+			}
+			docs, err := c.Read(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			cancel()
+			<-done
+			f.Close()
+			again, f := alone(t, path)
+			defer f.Close()
+			if c.sequence != again.sequence || c.view.Number != again.view.Number || c.whole != again.whole || c.Self != again.Self ||
+				!maps.EqualFunc(docs, again.docs, func(a, b []byte) bool { return string(a) == string(b) }) {
+				t.Errorf("%s: memory held %d %s, the disk %d %s", step, c.sequence, fmt.Sprint(docs), again.sequence, fmt.Sprint(again.docs))
+			}
+			want := map[string]string{statefile.StepCommit: "1", statefile.StepSync: "2"}[step]
+			if string(docs["x"]) != want {
+				t.Errorf("%s: x is %s", step, docs["x"])
+			}
+		})
+	}
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -101,13 +101,10 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	if c.refused != nil { // whether the disk works again
-		c.refused = c.db.Update(c.saveView)
-	}
-	view, whole, refused, sequence := c.view, c.whole == c.view.Number, c.refused, c.sequence
+	view, whole, sequence := c.view, c.whole == c.view.Number, c.sequence
 	c.mu.Unlock()
-	if refused != nil {
-		return nil, &wire.Status{Code: 503, Text: "the disk refuses writes: " + refused.Error()}
+	if err := c.works(); err != nil {
+		return nil, err
 	}
 	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, sequence, c.Ready()}, nil
 }
@@ -165,7 +162,7 @@
 	view, whole := c.view, c.whole
 	c.enter(v)
 	if err := c.db.Update(c.saveView); err != nil {
-		c.view, c.whole, c.refused = view, whole, err // what is not on disk is not sealed
+		c.view, c.whole = view, whole // what is not on disk is not sealed
 		return fmt.Errorf("write the view: %w", err)
 	}
 	return nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,11 +10,11 @@
 	"fmt"
 	"log"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -26,6 +26,7 @@
 	"saltreel/internal/journal"
 	"saltreel/internal/relay"
 	"saltreel/internal/settings"
+	"saltreel/internal/statefile"
 	"saltreel/internal/wire"
 )
 
@@ -50,7 +51,7 @@
 	duty     *ballot.Duty
 	registry *registry
 	journal  *journal.Journal
-	db       *bbolt.DB
+	state    *statefile.File
 
 	mu        sync.Mutex
 	placement Placement
@@ -75,9 +76,10 @@
 	life    context.Context      // of what the core does on its own
 	end     context.CancelFunc
 	tasks   sync.WaitGroup
+	opened  atomic.Bool // the state on disk is read
 }
 
-// New opens the state on disk and makes the process.
+// New makes the process; Run opens the state on disk.
 func New(set *settings.Settings, network wire.Network, logger *log.Logger) (*Core, error) {
 	c := &Core{
 		set: set, log: logger, net: network, self: set.Internal(), contact: set.Contact(),
@@ -91,65 +93,72 @@
 	c.journal = journal.New(set.NodeName+"/"+life, 16*c.contact, relay.PrefixNode)
 	c.registry = &registry{entries: map[string]*entry{}, journal: c.journal, late: c.contact / 2}
 	c.pool = &wire.Pool{Network: network}
-	db, err := OpenDisk(filepath.Join(set.DataPath, "core.db"))
-	if err != nil {
-		return nil, err
-	}
-	c.db = db
-	db.MaxBatchDelay = batchDelay
-	c.voter = &ballot.Voter{Silent: time.Now().Add(c.contact / 32)}
+	c.voter = &ballot.Voter{}
 	c.chain = &chain.Chain{
 		Self: chain.Member{Address: c.self}, Losses: int(set.FaultTolerance.HostFailures), Pool: c.pool, Contact: c.contact, Log: logger,
 		Voter: c.voter, Prepare: c.prepare, Committed: c.committed, Others: c.others, Ready: c.isReady,
 	}
-	var founders []string
-	if set.Bootstrap {
-		founders = set.Cores()
-	}
-	if err := c.read(founders); err != nil {
-		db.Close()
-		return nil, fmt.Errorf("read %s: %w", db.Path(), err)
-	}
-	c.node.Disk = c.chain.Self.Disk
+	c.state = &statefile.File{Path: filepath.Join(set.DataPath, "core.db"), BatchDelay: batchDelay, Prepare: c.prepareState, Load: c.loadState, Warn: logger.Printf}
+	c.chain.Open(c.state)
 	c.duty = &ballot.Duty{Name: "steward", Self: c.self, Lease: c.contact / 4, Call: c.callDuty}
 	return c, nil
 }
 
-// OpenDisk opens a database file so that its name outlives a loss of power. A
-// file that is damaged is moved aside and named in the error.
-func OpenDisk(path string) (*bbolt.DB, error) {
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		return nil, fmt.Errorf("open %s: %w", path, err)
-	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, FreelistType: bbolt.FreelistMapType})
-	if err != nil {
-		return nil, fmt.Errorf("open %s: %w", path, err)
-	}
-	db.AllocSize = 1 << 20
-	if dir, err := os.Open(filepath.Dir(path)); err == nil {
-		_ = dir.Sync()
-		dir.Close()
+// open opens the state on disk. While the disk refuses, this core waits and
+// takes no part; it tells whether it is open before ctx ends.
+func (c *Core) open(ctx context.Context) bool {
+	for told := false; ctx.Err() == nil; sleep(ctx, c.contact/40) {
+		err := c.state.Open()
+		if err == nil {
+			if told {
+				c.log.Printf("core: the state is open")
+			}
+			c.node.Disk = c.chain.Self.Disk
+			c.voter.Silent = time.Now().Add(c.contact / 32)
+			c.opened.Store(true)
+			return true
+		}
+		if !told {
+			c.log.Printf("core: waiting for the disk: %v", err)
+			told = true
+		}
 	}
-	return db, nil
+	return false
 }
 
-// read reads the state on disk. The database panics on some kinds of damage.
-func (c *Core) read(founders []string) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("the file is damaged: %v", r)
+// prepareState makes the state on an empty disk. A disk that is there for one
+// that was damaged founds nothing: what it held is with the others.
+func (c *Core) prepareState(tx *bbolt.Tx) error {
+	var founders []string
+	if c.set.Bootstrap && !statefile.Replaced(c.state.Path) {
+		founders = c.set.Cores()
+	}
+	for _, b := range [][]byte{bucketLeavings, bucketComplete} {
+		if _, err := tx.CreateBucketIfNotExists(b); err != nil {
+			return err
 		}
-	}()
-	if err := c.chain.Open(c.db, founders); err != nil {
-		return err
 	}
-	kept, complete, err := openLeavings(c.db)
-	c.complete = complete
-	for _, it := range kept {
-		c.registry.put(it)
-		c.kept[it.Key] = it.Version.Major / drains
+	return c.chain.Found(tx, founders)
+}
+
+// loadState reads the state on disk.
+func (c *Core) loadState(tx *bbolt.Tx) (func(), error) {
+	install, err := c.chain.Load(tx)
+	if err != nil {
+		return nil, err
 	}
-	return err
+	leavings, complete, err := loadLeavings(tx)
+	return func() {
+		install()
+		kept := map[string]int64{}
+		for _, it := range leavings {
+			c.registry.put(it)
+			kept[it.Key] = it.Version.Major / drains
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.kept, c.complete = kept, complete
+	}, err
 }
 
 func (c *Core) callDuty(ctx context.Context, voter string, d ballot.DutyCall) (r ballot.DutyReply, err error) {
@@ -208,9 +217,16 @@
 	return c.placement
 }
 
+// ErrDamaged ends Run when the state on disk was found damaged and moved aside.
+// Made anew, the core joins as one with an empty disk.
+var ErrDamaged = statefile.ErrDamaged
+
 // Run serves until ctx ends.
 func (c *Core) Run(ctx context.Context) error {
-	defer c.db.Close()
+	defer c.state.Close()
+	if !c.open(ctx) {
+		return nil
+	}
 	inner, err := c.net.Listen(c.self)
 	if err != nil {
 		return fmt.Errorf("listen for our own processes: %w", err)
@@ -240,16 +256,21 @@
 	for _, f := range []func(context.Context){
 		func(ctx context.Context) { _ = server.Serve(ctx, inner) },
 		c.learn, c.chain.Tend, c.gossip, c.steward,
+		func(ctx context.Context) { c.state.Tend(ctx, c.contact/40) },
 	} {
 		c.tasks.Go(func() { f(c.life) })
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-c.state.Lost():
+		err = c.state.Err()
+	}
 	stop, cancel := context.WithTimeout(context.Background(), c.contact/8)
 	defer cancel()
 	server.Drain(stop)
 	c.end()
 	c.tasks.Wait()
-	return nil
+	return err
 }
 
 // Ping answers that the process runs.
@@ -404,6 +425,9 @@
 // operator's.
 func (c *Core) ServeControl(operate wire.Handler) wire.Handler {
 	return func(ctx context.Context, r *wire.Request) *wire.Response {
+		if !c.opened.Load() {
+			return wire.Problem(503, "the state on disk is not open")
+		}
 		if id, ok := strings.CutPrefix(r.URL.Path, "/v1/instances/"); ok {
 			return c.handleBeat(ctx, r, id)
 		}
--- a/internal/core/electorate.go
+++ b/internal/core/electorate.go
@@ -166,7 +166,7 @@
 	if known {
 		return nil
 	}
-	err := c.db.Update(func(tx *bbolt.Tx) error {
+	err := c.state.Update(func(tx *bbolt.Tx) error {
 		return tx.Bucket(bucketComplete).Put(bucketComplete, strconv.AppendInt(nil, electorate, 10))
 	})
 	if err != nil {
--- a/internal/core/leavings.go
+++ b/internal/core/leavings.go
@@ -17,31 +17,25 @@
 // bucketComplete holds the electorate for which the leavings here are complete.
 var bucketComplete = []byte("leavings-complete")
 
-// openLeavings reads the leavings that this disk keeps, and before the time of
+// loadLeavings reads the leavings that this disk keeps, and before the time of
 // which electorate it keeps all that were acknowledged.
-func openLeavings(db *bbolt.DB) (out []Item, complete int64, err error) {
-	err = db.Update(func(tx *bbolt.Tx) error {
-		e, err := tx.CreateBucketIfNotExists(bucketComplete)
-		if err != nil {
-			return err
+func loadLeavings(tx *bbolt.Tx) (out []Item, complete int64, err error) {
+	if raw := tx.Bucket(bucketComplete).Get(bucketComplete); raw != nil {
+		if complete, err = strconv.ParseInt(string(raw), 10, 64); err != nil {
+			return nil, 0, fmt.Errorf("the electorate of the leavings: %w", err)
 		}
-		complete, _ = strconv.ParseInt(string(e.Get(bucketComplete)), 10, 64)
-		b, err := tx.CreateBucketIfNotExists(bucketLeavings)
-		if err != nil {
-			return err
+	}
+	err = tx.Bucket(bucketLeavings).ForEach(func(k, v []byte) error {
+		var it Item
+		if err := json.Unmarshal(v, &it); err != nil {
+			return fmt.Errorf("leaving of %s: %w", k, err)
 		}
-		return b.ForEach(func(k, v []byte) error {
-			var it Item
-			if err := json.Unmarshal(v, &it); err != nil {
-				return fmt.Errorf("leaving of %s: %w", k, err)
-			}
-			if it.Value == nil {
-				it.Value = json.RawMessage("null")
-			}
-			it.AgeMs = 0 // heard of now, so that it is forgotten late enough
-			out = append(out, it)
-			return nil
-		})
+		if it.Value == nil {
+			it.Value = json.RawMessage("null")
+		}
+		it.AgeMs = 0 // heard of now, so that it is forgotten late enough
+		out = append(out, it)
+		return nil
 	})
 	return out, complete, err
 }
@@ -60,7 +54,7 @@
 	if len(fresh) == 0 {
 		return nil
 	}
-	err := c.db.Batch(func(tx *bbolt.Tx) error {
+	err := c.state.Batch(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(bucketLeavings)
 		for _, it := range fresh {
 			raw, err := json.Marshal(it)
@@ -102,7 +96,7 @@
 	if len(mine) == 0 {
 		return
 	}
-	err := c.db.Batch(func(tx *bbolt.Tx) error {
+	err := c.state.Batch(func(tx *bbolt.Tx) error {
 		for _, k := range mine {
 			if err := tx.Bucket(bucketLeavings).Delete([]byte(k)); err != nil {
 				return err
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log"
 	"time"
@@ -12,8 +13,21 @@
 )
 
 // Serve runs a core with the listener for handlers and the operator, until ctx
-// ends.
+// ends. A core whose state on disk was found damaged is made anew: it joins as
+// one with an empty disk.
 func Serve(ctx context.Context, c *core.Core, set *settings.Settings, network wire.Network, logger *log.Logger) error {
+	for {
+		err := serve(ctx, c, set, network, logger)
+		if !errors.Is(err, core.ErrDamaged) || ctx.Err() != nil {
+			return err
+		}
+		if c, err = core.New(set, network, logger); err != nil {
+			return err
+		}
+	}
+}
+
+func serve(ctx context.Context, c *core.Core, set *settings.Settings, network wire.Network, logger *log.Logger) error {
 	l, err := network.Listen(set.Listeners.ControlPlane)
 	if err != nil {
 		return fmt.Errorf("listen for handlers and the operator: %w", err)
@@ -31,6 +45,8 @@
 	select {
 	case <-ctx.Done():
 	case err := <-done:
+		end()
+		s.Drain(life)
 		return err
 	}
 	stop, cancel := context.WithTimeout(context.Background(), settings.Seconds(set.Timers.GraceS)/8)
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -15,7 +15,7 @@
 	"go.etcd.io/bbolt"
 	bbolterrors "go.etcd.io/bbolt/errors"
 
-	"saltreel/internal/core"
+	"saltreel/internal/statefile"
 )
 
 var (
@@ -74,7 +74,7 @@
 			err = fmt.Errorf("read %s: %v", path, r)
 		}
 	}()
-	db, err := core.OpenDisk(path)
+	db, err := statefile.OpenDatabase(path)
 	if err != nil {
 		return nil, nil, nil, err
 	}
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"saltreel/internal/core"
+	"saltreel/internal/statefile"
 	"saltreel/internal/wire"
 )
 
@@ -297,7 +298,7 @@
 			t.Errorf("%s: %v", what, err)
 		}
 	}
-	closed, err := core.OpenDisk(filepath.Join(t.TempDir(), "other.db"))
+	closed, err := statefile.OpenDatabase(filepath.Join(t.TempDir(), "other.db"))
 	if err != nil {
 		t.Fatal(err)
 	}
