Chain: an old file put back leads nothing; restarts of cores tested

Cause: a disk with an old file put back carries its identity and says that it holds everything of the view that it knows. Where the view has not changed since (all power lost, or back within contact-ms/4) its core headed that view and handed its old state down as the whole: acknowledged changes were gone. Where the view has changed, `since` already keeps it from leading: shown by the tests, head, middle and tail.

Those before it in a view hold all that it does, so such a pass comes late, or from an old file. The sender then counts as one that does not hold everything and is handed it. A head makes no write before the first pass of its life and view: else its numbers could overtake those of the others while it reaches nobody.

Not held: a vote forgotten by an old file (see docs).

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -44,6 +44,8 @@
 // Passed answers a pass. Gap asks for the whole state.
 type Passed struct {
 	Gap bool `json:"gap,omitempty"`
+	// Ahead says that the successor holds everything, and more than was passed.
+	Ahead bool `json:"ahead,omitempty"`
 }
 
 // Chain is this machine's part.
@@ -205,11 +207,16 @@
 	}
 	defer c.unlock()
 	c.mu.Lock()
-	view, docs, whole := c.view, c.docs, c.whole == c.view.Number
+	view, docs, whole, active := c.view, c.docs, c.whole == c.view.Number, c.active
 	c.mu.Unlock()
 	if view.at(c.Self) != 0 || !whole {
 		return &wire.Status{Code: 421, Text: "this machine is not the head"}
 	}
+	if !active { // nothing is built on a disk before the others have taken what it holds
+		if err := c.forward(ctx, c.pass(view)); err != nil {
+			return err
+		}
+	}
 	var set Documents
 	var refused error
 	if decide != nil {
@@ -304,6 +311,9 @@
 			if err := c.Pool.Post(ctx, next.Address, "/chain/pass", p, nil, &out); err != nil {
 				return fmt.Errorf("pass down the chain: %w", err)
 			}
+			if out.Ahead {
+				return c.behind(next)
+			}
 			if !out.Gap {
 				break
 			}
@@ -340,6 +350,9 @@
 	if err := c.late(p); err != nil {
 		return nil, err
 	}
+	if c.ahead(p) {
+		return &Passed{Ahead: true}, nil
+	}
 	fresh := p.View.Number == view.Number && active
 	switch {
 	case p.All:
@@ -361,9 +374,9 @@
 	return &Passed{}, nil
 }
 
-// late refuses a pass that others have overtaken: it lay in a buffer, or on a
-// link that was cut. Within a view the head's numbers and the sequence of
-// writes only rise; the sequence is on disk, so that holds over a restart too.
+// late refuses a pass that others of the same life of the head have overtaken:
+// it lay in a buffer, or on a link that was cut. Over a restart ahead tells it,
+// by the sequence, which is on disk.
 func (c *Chain) late(p *Pass) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -373,9 +386,6 @@
 	if p.Stamp.Head == c.stamp.Head && p.Stamp.Number < c.stamp.Number {
 		return &wire.Status{Code: 409, Text: fmt.Sprintf("pass %d is late, %d was here", p.Stamp.Number, c.stamp.Number)}
 	}
-	if p.All && c.whole == c.view.Number && p.Sequence < c.sequence {
-		return &wire.Status{Code: 409, Text: fmt.Sprintf("a whole state of write %d is late, %d is held", p.Sequence, c.sequence)}
-	}
 	c.stamp = p.Stamp
 	return nil
 }
--- a/internal/chain/disk.go
+++ b/internal/chain/disk.go
@@ -95,6 +95,30 @@
 	return nil
 }
 
+// ahead tells whether this member holds everything, and more than a pass. The
+// members before it hold all that it does, so such a pass is late, or comes from
+// a disk with an old file put back.
+func (c *Chain) ahead(p *Pass) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := p.View.at(c.Self)
+	kept := p.View.Number == c.view.Number || i >= 0 && p.View.Members[i].Since <= c.view.Number
+	return kept && c.whole == c.view.Number && p.Sequence < c.sequence
+}
+
+// behind notes that this disk does not hold everything, whatever it says. The
+// right to write is held.
+func (c *Chain) behind(next Member) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.whole != 0 {
+		c.Log.Printf("chain: %s holds more than this disk, which was put back", next.Address)
+	}
+	c.whole, c.active = 0, false
+	err := fmt.Errorf("pass down the chain: %s holds more than this disk", next.Address)
+	return errors.Join(err, c.db.Update(c.saveView))
+}
+
 func (c *Chain) saveView(tx *bbolt.Tx) error {
 	s := tx.Bucket(bucketState)
 	view, _ := json.Marshal(c.view)
--- a/internal/chain/disk_test.go
+++ b/internal/chain/disk_test.go
@@ -1,12 +1,16 @@
 package chain
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"log"
 	"maps"
+	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -17,6 +21,7 @@
 
 	"saltreel/internal/ballot"
 	"saltreel/internal/statefile"
+	"saltreel/internal/wire"
 )
 
 // alone is a chain of one member on a file.
@@ -95,3 +100,67 @@
 		})
 	}
 }
+
+// What is replaced leaves nothing behind on the disk.
+func TestTheFileDoesNotGrowWithTheChanges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "core.db")
+	c, f := alone(t, path)
+	defer f.Close()
+	size := func() int64 {
+		s, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Size()
+	}
+	before := int64(0)
+	for i := range 500 {
+		if err := c.set("configuration", strings.Repeat(fmt.Sprint(i%10), 20_000+i)); err != nil {
+			t.Fatal(err)
+		}
+		if i == 20 {
+			before = size()
+		}
+	}
+	if after := size(); after > before || after > 1<<20 {
+		t.Errorf("%d bytes after 20 changes, %d after 500", before, after)
+	}
+}
+
+// A head that has not passed yet since it started may have an old file: what it
+// writes would count as newer than what the others hold.
+func TestAHeadWritesNothingBeforeItsFirstPass(t *testing.T) {
+	c, f := alone(t, filepath.Join(t.TempDir(), "core.db"))
+	defer f.Close()
+	c.Pool = &wire.Pool{Network: wire.Network{Dial: func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }}}
+	c.view.Members = append(c.view.Members, Member{Address: "b", Disk: founder, Since: 1})
+	c.Losses = 1
+	for range 3 {
+		if err := c.set("x", "1"); err == nil {
+			t.Error("confirmed by nobody")
+		}
+	}
+	if c.sequence != 0 || len(c.docs) != 0 {
+		t.Errorf("wrote %d, %s", c.sequence, c.docs)
+	}
+}
+
+// One pass on a member: a configuration of 20 kB and a placement of 13 kB put on
+// disk.
+func BenchmarkPass(b *testing.B) {
+	c := &Chain{Self: Member{Address: "a"}, Contact: time.Second, Log: log.New(io.Discard, "", 0), Voter: &ballot.Voter{}}
+	f := &statefile.File{Path: filepath.Join(b.TempDir(), "core.db"), Warn: b.Logf, Load: c.Load,
+		Prepare: func(tx *bbolt.Tx) error { return c.Found(tx, []string{"a"}) }}
+	c.Open(f)
+	if err := f.Open(); err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	configuration, placement := bytes.Repeat([]byte("c"), 20_000), bytes.Repeat([]byte("p"), 13_000)
+	for b.Loop() {
+		p := Pass{View: c.view, Sequence: c.sequence + 1, Set: Documents{"configuration": configuration, "placement": placement}}
+		if err := c.apply(p); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -79,10 +79,7 @@
 	View  View `json:"view"`
 	Next  bool `json:"next"`  // a value for the view after this one was accepted here
 	Whole bool `json:"whole"` // holds everything that was ever acknowledged
-	// Sequence is of the last write held here; in a chain it never rises from
-	// one member to the next.
-	Sequence int64 `json:"sequence"`
-	Ready    bool  `json:"ready"` // knows what a voter must know
+	Ready bool `json:"ready"` // knows what a voter must know
 }
 
 // Query asks a core where it stands. It carries the newest view that the
@@ -101,12 +98,12 @@
 		return nil, err
 	}
 	c.mu.Lock()
-	view, whole, sequence := c.view, c.whole == c.view.Number, c.sequence
+	view, whole := c.view, c.whole == c.view.Number
 	c.mu.Unlock()
 	if err := c.works(); err != nil {
 		return nil, err
 	}
-	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, sequence, c.Ready()}, nil
+	return &Standing{view, c.Voter.Accepted(view.Number + 1), whole && view.at(c.Self) >= 0, c.Ready()}, nil
 }
 
 // mine refuses what is meant for another disk at this address.
@@ -190,13 +187,7 @@
 		view := c.View()
 		head := view.at(c.Self) == 0
 		if head {
-			c.mu.Lock()
-			first := !c.active
-			c.mu.Unlock()
 			err := c.Propose(ctx, nil)
-			if err == nil && first { // from the next one the others learn that this one came back
-				err = c.Propose(ctx, nil)
-			}
 			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
 				c.Log.Printf("chain: sign of life: %v", err)
 			}
@@ -297,16 +288,12 @@
 	next.Number, next.Members, next.Voters = view.Number+1, nil, slices.Clone(view.Voters)
 	// Those that hold everything go first; among them the order stays, so that
 	// the new head holds all that any of them does.
-	// One whose disk was put back as it was before lacks what a member behind it
-	// holds.
 	var behind []Member
-	var held int64
-	for _, m := range slices.Backward(view.Members) {
-		if s := of(m); s != nil && s.Whole && s.Sequence >= held {
-			next.Members = slices.Insert(next.Members, 0, m)
-			held = s.Sequence
+	for _, m := range view.Members {
+		if s := of(m); s != nil && s.Whole {
+			next.Members = append(next.Members, m)
 		} else if s != nil {
-			behind = slices.Insert(behind, 0, m)
+			behind = append(behind, m)
 		}
 	}
 	if len(next.Members) == 0 {
