A handler's later beats go to the core of its zone or region

Cause: a handler that picks a core for each beat is heard by all in turn. Each tells the others what it heard itself, so exchanges grow with handlers x cores, and beats cross regions.

Change: the answer to a beat names in keepalive-target the core of the handler's zone, else of its region, else the one that answers; another core only while it is in the view and beat lately. A core that is out of touch answers 503, so the handler goes on to the next one.

Test: TestBeatsGoToTheNearestCoreThatAnswers, with the core of the zone killed and back.

--- a/internal/cluster/control_test.go
+++ b/internal/cluster/control_test.go
@@ -429,3 +429,31 @@
 		})
 	}
 }
+
+// A handler's later beats go to the core of its zone as long as that one is
+// there, and whichever core it asks names the same one.
+func TestBeatsGoToTheNearestCoreThatAnswers(t *testing.T) {
+	run(t, func(w *world) {
+		target := func(control string) string {
+			a, err := w.do(control, &wire.Call{Method: "PUT", Target: "/v1/instances/x1", Host: control, Body: fmt.Appendf(nil,
+				`{"service":"plain","address":"10.20.1.1:90","zone":"z2","slots":2,"oper-state":"ready","call-seq":%d}`, time.Now().UnixMilli())}, time.Second)
+			var out struct {
+				Target string `json:"keepalive-target"`
+			}
+			if err != nil || a.Status != 200 || json.Unmarshal(a.Body, &out) != nil {
+				return ""
+			}
+			return out.Target
+		}
+		for _, c := range w.controls() {
+			w.until(3*time.Second, c+" names the core of the zone", func() bool { return target(c) == "10.2.0.1:82" })
+		}
+		w.kill("core-z2")
+		time.Sleep(2 * time.Second)
+		for _, c := range []string{"10.1.0.1:82", "10.3.0.1:82"} {
+			w.until(3*time.Second, c+" names itself", func() bool { return target(c) == c })
+		}
+		w.start("core-z2", false)
+		w.until(5*time.Second, "the core of the zone is named again", func() bool { return target("10.1.0.1:82") == "10.2.0.1:82" && target("10.2.0.1:82") == "10.2.0.1:82" })
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,7 +9,6 @@
 	"crypto/rand"
 	"fmt"
 	"log"
-	"net/http"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -22,7 +21,6 @@
 	"saltreel/internal/ballot"
 	"saltreel/internal/chain"
 	"saltreel/internal/configuration"
-	"saltreel/internal/handler"
 	"saltreel/internal/journal"
 	"saltreel/internal/relay"
 	"saltreel/internal/settings"
@@ -435,31 +433,6 @@
 	}
 }
 
-func (c *Core) handleBeat(ctx context.Context, r *wire.Request, id string) *wire.Response {
-	if !c.inTouch() {
-		return wire.Problem(503, "this core is not in touch with the others")
-	}
-	var err error
-	switch r.Method {
-	case http.MethodPut:
-		in, bad := handler.ParseBeat(id, r.Body)
-		if bad != nil {
-			c.log.Printf("core: beat of %s from %s is refused: %v", id, r.Conn.RemoteAddr(), bad)
-			return wire.Problem(400, bad.Error())
-		}
-		err = c.beat(ctx, in)
-	case http.MethodDelete:
-		err = c.leave(ctx, id)
-	default:
-		return wire.Problem(405, "instances take PUT and DELETE")
-	}
-	if err != nil {
-		c.log.Printf("core: beat of %s: %v", id, err)
-		return wire.Problem(503, err.Error()) // whatever an inner call was told: another core may take it
-	}
-	return wire.JSON(200, struct{}{})
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"saltreel/internal/chain"
@@ -111,15 +110,7 @@
 	if addr == "" || addr == c.self || refused && time.Since(at) < c.contact/4 {
 		return ""
 	}
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return ""
-	}
-	_, port, err := net.SplitHostPort(c.set.Listeners.ControlPlane) // alike on all machines
-	if err != nil {
-		return ""
-	}
-	return net.JoinHostPort(host, port)
+	return c.controlOf(addr)
 }
 
 // decide makes a write at the head.
