--- /dev/null
+++ b/internal/journal/journal_bench_test.go
@@ -0,0 +1,100 @@
+package journal
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var sizes = []int{1000, 10000, 44000}
+
+func handler(i, seq int) Event {
+	return Event{Key: fmt.Sprintf("instance/tm-matcher-%06d", i), Version: Version{Major: int64(seq)},
+		Value: json.RawMessage(fmt.Sprintf(`{"instance-id":"tm-matcher-%06d","service":"tm-matcher","address":"10.20.1.%d:9000","zone":"quezon-hall","revision":"v1","slots":2,"oper-state":"ready","warmup-left-ms":0,"call-seq":%d}`, i, i%256, seq))}
+}
+
+func filled(n int) *Journal {
+	j := New("bench", time.Hour, "node/")
+	for i := range n {
+		j.Append(handler(i, 1))
+	}
+	return j
+}
+
+// BenchmarkAppend folds one event into a journal that holds n keys.
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			j := filled(n)
+			b.ReportAllocs()
+			events := make([]Event, n)
+			seq, at := 1, 0
+			for b.Loop() {
+				if at%n == 0 {
+					b.StopTimer()
+					seq++
+					for i := range events {
+						events[i] = handler(i, seq)
+					}
+					b.StartTimer()
+				}
+				j.Append(events[at%n])
+				at++
+			}
+		})
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			j := filled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				j.Digest()
+			}
+		})
+	}
+}
+
+// BenchmarkDelta answers a child that lacks one event of n.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			j := filled(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := j.Since("bench", uint64(n-1), nil, nil)
+				p.Encode()
+			}
+		})
+	}
+}
+
+// BenchmarkWhole answers a child that has nothing, and reads the page there.
+func BenchmarkWhole(b *testing.B) {
+	for _, n := range sizes {
+		j := filled(n)
+		p, _ := j.Since("", 0, nil, nil)
+		raw := p.Encode()
+		b.Run(fmt.Sprintf("encode/keys=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := j.Since("", 0, nil, nil)
+				p.Encode()
+			}
+			b.ReportMetric(float64(len(raw)), "page-B")
+		})
+		b.Run(fmt.Sprintf("load/keys=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				var p Page
+				if err := json.Unmarshal(raw, &p); err != nil {
+					b.Fatal(err)
+				}
+				New("child", time.Hour, "node/").Load(p)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/partition/partition_bench_test.go
@@ -0,0 +1,105 @@
+package partition
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"saltreel/internal/core"
+	"saltreel/internal/wire"
+)
+
+func message(i int) *Record {
+	return &Record{ID: fmt.Sprintf("attempt-%012d", i), Epoch: 5, Sequence: int64(i + 1), Tenant: "tenant-1", Method: "POST", Target: "/vendor-approval/17/x", Host: "app.example",
+		Type: "application/json", Revision: 7, Due: 1, Expires: 1 << 50, Length: 1500, Body: bytes.Repeat([]byte("x"), 1500)}
+}
+
+// BenchmarkRecord encodes and decodes one message of 1,500 bytes for the disk.
+func BenchmarkRecord(b *testing.B) {
+	r := message(1)
+	raw := r.encode()
+	b.Run("encode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			r.encode()
+		}
+		b.ReportMetric(float64(len(raw)), "record-B")
+	})
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := decode(key(0, r.ID), raw); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkHeld is what a message takes in memory while it waits, without and
+// with its body.
+func BenchmarkHeld(b *testing.B) {
+	const n = 100000
+	for _, size := range []int{0, 1500} {
+		b.Run(fmt.Sprintf("body=%d", size), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				p, s := &part{records: map[string]*Record{}}, &Set{}
+				for i := range n {
+					r := message(i)
+					r.Body = make([]byte, size)
+					s.put(p, r)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(p)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "held-B/message")
+		})
+	}
+}
+
+// BenchmarkCopies takes batches of messages as a backup, each on disk before
+// the answer, and tells how large the file is then.
+func BenchmarkCopies(b *testing.B) {
+	for _, n := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("messages=%d", n), func(b *testing.B) {
+			s := &Set{Self: "me", Contact: 4 * time.Second, Log: log.New(io.Discard, "", 0), Keep: time.Minute,
+				Suspect: func(string, bool) {}, Report: func(context.Context, core.InStep) error { return nil },
+				Pool: &wire.Pool{Network: wire.Network{Dial: func(context.Context, string) (net.Conn, error) { return nil, io.EOF }}}}
+			if err := s.Open(b.TempDir()); err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(b.Context())
+			done := make(chan struct{})
+			go func() { _ = s.Run(ctx); close(done) }()
+			defer func() { cancel(); <-done }()
+			s.Place(core.Placement{Version: 1, Stores: map[string]core.Store{"me": {Disk: s.Identity()}},
+				Partitions: []core.Partition{{Epoch: 5, Primary: "other", Backups: []core.Backup{{Store: "me", InStep: true}}}}})
+			b.ReportAllocs()
+			at := 0
+			for b.Loop() {
+				batch, raw := Batch{From: "other", Now: s.Now()}, []byte{}
+				share := Share{Epoch: 5}
+				for range n {
+					r := message(at)
+					at++
+					share.Records = append(share.Records, r)
+					raw = append(raw, r.Body...)
+				}
+				batch.Parts = []Share{share}
+				if _, err := s.HandleCopy(ctx, &batch, raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(s.disk.used())/float64(at), "file-B/message")
+		})
+	}
+}
