--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -22,6 +22,7 @@
 	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
 	meddle    func(b []byte) []byte // makes something else of what is written
+	seen      func(c *conn, b []byte) // called with all that is written and not lost, if set
 }
 
 func newNetwork() *network {
@@ -190,12 +191,14 @@
 func (c *conn) Write(b []byte) (int, error) {
 	n := c.owner.net
 	n.mu.Lock()
-	lost := n.loses(c.owner.ip, c.peer.ip)
-	meddle := n.meddle
+	lost, meddle, seen := n.loses(c.owner.ip, c.peer.ip), n.meddle, n.seen
 	n.mu.Unlock()
 	if lost {
 		return len(b), nil
 	}
+	if seen != nil {
+		seen(c, b)
+	}
 	if meddle != nil {
 		if _, err := c.out.write(meddle(b)); err != nil {
 			return 0, err
