--- a/internal/cluster/scale_test.go
+++ b/internal/cluster/scale_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,8 +102,17 @@
 	machines int
 }
 
-// count runs a cluster in calm for a while and counts, by role.
-func count(t *testing.T, s size, during time.Duration) (out map[string]*result) {
+// processor is the processor time of this process so far, with the kernel's part.
+func processor() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// count runs a cluster in calm for a while and counts, by role; it also tells
+// the processor time of all together, handlers, clients and the simulated
+// network with them.
+func count(t *testing.T, s size, during time.Duration) (out map[string]*result, spent time.Duration) {
 	t.Helper()
 	out = map[string]*result{}
 	synctest.Test(t, func(t *testing.T) {
@@ -151,7 +161,7 @@
 		w.net.mu.Lock()
 		w.net.seen = n.see
 		w.net.mu.Unlock()
-		end := time.Now().Add(during)
+		end, began := time.Now().Add(during), processor()
 		for i := 0; s.messages > 0 && time.Now().Before(end); i++ {
 			zone, id := zones[i%3], fmt.Sprintf("m%d", i)
 			w.tasks.Go(func() {
@@ -162,6 +172,7 @@
 			time.Sleep(time.Second / time.Duration(s.messages))
 		}
 		time.Sleep(time.Until(end))
+		spent = processor() - began
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		w.net.mu.Lock()
@@ -187,7 +198,7 @@
 			}
 		}
 	})
-	return out
+	return out, spent
 }
 
 // control is the bytes of all kinds, or of those that are not of messages.
@@ -256,7 +267,9 @@
 			continue
 		}
 		per := func(n int) float64 { return float64(n) / during.Seconds() }
-		for role, r := range count(t, s, during) {
+		roles, spent := count(t, s, during)
+		t.Logf("%+v: %.2f ms of processor time a second, all together", s, per(int(spent.Microseconds()))/1000)
+		for role, r := range roles {
 			if got := per(control(r.busiest, false)); role != "core" && got > plan {
 				t.Errorf("%+v: control takes %.0f B/s at the busiest %s, the plan is %d", s, got, role, plan)
 			}
--- a/internal/journal/journal_bench_test.go
+++ b/internal/journal/journal_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -26,7 +27,12 @@
 func BenchmarkAppend(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			j := filled(n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			b.ReportAllocs()
 			events := make([]Event, n)
 			seq, at := 1, 0
@@ -42,6 +48,7 @@
 				j.Append(events[at%n])
 				at++
 			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "held-B/key")
 		})
 	}
 }
