--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -21,7 +21,7 @@
 	dark      map[string]bool    // by IP: packets to and from it are lost
 	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
-	meddle    func(b []byte) []byte // makes something else of what is written
+	meddle    func(b []byte) []byte   // makes something else of what is written
 	seen      func(c *conn, b []byte) // called with all that is written and not lost, if set
 }
 
