--- a/internal/cluster/restart_test.go
+++ b/internal/cluster/restart_test.go
@@ -187,15 +187,18 @@
 // leads nothing, also in the view that it knows.
 func TestAnOldFilePutBackLeadsNothing(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		changed, all  bool // the view changed since; all power is lost
-		quick, orders bool // back before the others miss it; orders go on
+		name         string
+		changed, all bool // the view changed since; all power is lost
+		orders       bool // go on while it comes back
+		wiped        bool // no file at all, and bootstrap as on the first day
 	}{
 		{name: "the view changed", changed: true},
 		{name: "the view changed and all power was lost", changed: true, all: true},
 		{name: "the same view, all power was lost", all: true},
-		{name: "the same view, back at once", quick: true},
-		{name: "the same view, back at once under orders", quick: true, orders: true},
+		{name: "the same view, back at once"},
+		{name: "the same view, back at once under orders", orders: true},
+		{name: "wiped and bootstrap, all power was lost", all: true, wiped: true},
+		{name: "wiped and bootstrap, back at once under orders", orders: true, wiped: true},
 	} {
 		for _, z := range zones {
 			t.Run(c.name+", core-"+z, func(t *testing.T) {
@@ -216,7 +219,10 @@
 						}
 					}
 					w.putFile(name, old)
-					w.start(name, false)
+					if c.wiped {
+						w.wipe(name)
+					}
+					w.start(name, c.wiped)
 					if c.all {
 						time.Sleep(500 * time.Millisecond)
 					}
--- a/internal/partition/disk.go
+++ b/internal/partition/disk.go
@@ -6,14 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
 
 	"go.etcd.io/bbolt"
-	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"saltreel/internal/statefile"
 )
@@ -48,19 +46,19 @@
 	done       func()
 }
 
-// openDisk opens the file in dir. A file that cannot be read is moved aside:
-// the copies on the other stores fill a new one.
+// openDisk opens the file in dir. A damaged one is moved aside: the copies on
+// the other stores fill a new one. One that the disk can't read is left alone.
 func openDisk(dir string, warn func(format string, args ...any)) (*disk, []*Record, Fence, error) {
 	path := filepath.Join(dir, "store.db")
 	d, records, fence, err := tryDisk(path)
-	if err == nil || errors.Is(err, os.ErrPermission) || errors.Is(err, bbolterrors.ErrTimeout) {
+	if !errors.Is(err, statefile.ErrDamaged) {
 		return d, records, fence, err
 	}
-	aside := path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
-	warn("disk: %s is damaged, moved to %s: %v", path, aside, err)
-	if err := os.Rename(path, aside); err != nil {
-		return nil, nil, nil, fmt.Errorf("move the damaged %s aside: %w", path, err)
+	aside, moved := statefile.MoveAside(path)
+	if moved != nil {
+		return nil, nil, nil, errors.Join(err, moved)
 	}
+	warn("disk: %s is damaged, moved to %s: %v", path, aside, err)
 	return tryDisk(path)
 }
 
@@ -68,19 +66,13 @@
 type Fence map[int]int64
 
 func tryDisk(path string) (d *disk, records []*Record, fence Fence, err error) {
-	defer func() {
-		// bbolt panics on some kinds of damage.
-		if r := recover(); r != nil {
-			err = fmt.Errorf("read %s: %v", path, r)
-		}
-	}()
 	db, err := statefile.OpenDatabase(path)
 	if err != nil {
 		return nil, nil, nil, err
 	}
 	d = &disk{db: db, wake: make(chan struct{}, 1)}
 	fence = Fence{}
-	err = db.Update(func(tx *bbolt.Tx) error {
+	read := func(tx *bbolt.Tx) error {
 		b, err := tx.CreateBucketIfNotExists(bucketRecords)
 		if err != nil {
 			return err
@@ -102,19 +94,26 @@
 		}
 		if raw := m.Get([]byte("fence")); raw != nil {
 			if err := json.Unmarshal(raw, &fence); err != nil {
-				return err
+				return fmt.Errorf("%w: the fence: %w", statefile.ErrDamaged, err)
 			}
 		}
 		return b.ForEach(func(k, v []byte) error {
 			r, err := decode(k, v)
-			if err == nil {
-				records = append(records, r)
+			if err != nil {
+				return fmt.Errorf("%w: %w", statefile.ErrDamaged, err)
 			}
-			return err
+			records = append(records, r)
+			return nil
 		})
+	}
+	err = statefile.Guard(path, func() error {
+		err := db.Update(read)
+		if err != nil { // not after a panic: it may hold the locks that closing takes
+			db.Close()
+		}
+		return err
 	})
 	if err != nil {
-		db.Close()
 		return nil, nil, nil, fmt.Errorf("read %s: %w", path, err)
 	}
 	return d, records, fence, nil
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -309,6 +309,20 @@
 	}
 }
 
+// What the disk cannot read may be whole: it is not moved aside.
+func TestAFileThatTheDiskCannotReadStays(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, "store.db"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, err := openDisk(dir, t.Logf); err == nil {
+		t.Error("opened a folder")
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "*.damaged-*")); len(left) != 0 {
+		t.Errorf("moved aside: %v", left)
+	}
+}
+
 // A store measures its file while the writer grows it or closes it.
 func TestAFileIsMeasuredWhileItGrowsAndCloses(t *testing.T) {
 	d, _, _, err := openDisk(t.TempDir(), t.Logf)
--- a/internal/statefile/statefile.go
+++ b/internal/statefile/statefile.go
@@ -113,7 +113,7 @@
 			return nil, err
 		}
 		f.db, f.handle = db, handle
-		err = guard(f.Path, func() error {
+		err = Guard(f.Path, func() error {
 			var refused error
 			if err := db.Update(func(tx *bbolt.Tx) error {
 				if err := walk(tx); err != nil {
@@ -236,7 +236,7 @@
 			return err
 		}
 		var mine error
-		err := guard(f.Path, func() error {
+		err := Guard(f.Path, func() error {
 			err := db.Update(func(tx *bbolt.Tx) error {
 				if mine = fn(tx); mine != nil {
 					return mine
@@ -258,7 +258,7 @@
 // View reads.
 func (f *File) View(fn func(tx *bbolt.Tx) error) error {
 	return f.call(func(db *bbolt.DB) error {
-		err := guard(f.Path, func() error { return db.View(fn) })
+		err := Guard(f.Path, func() error { return db.View(fn) })
 		if errors.Is(err, ErrDamaged) {
 			f.fail(err)
 		}
@@ -343,7 +343,7 @@
 	}
 	if errors.Is(f.Err(), ErrDamaged) {
 		f.handle.Close()
-	} else if guard(f.Path, f.db.Close) != nil {
+	} else if Guard(f.Path, f.db.Close) != nil {
 		f.handle.Close()
 	}
 	f.db = nil
@@ -364,9 +364,9 @@
 	return tx.ForEach(func(_ []byte, b *bbolt.Bucket) error { return bucket(b) })
 }
 
-// guard runs what may meet damage. A panic of bbolt and a fault on the mapped
+// Guard runs what may meet damage. A panic of bbolt and a fault on the mapped
 // file become ErrDamaged, if the disk can read the file.
-func guard(path string, do func() error) (err error) {
+func Guard(path string, do func() error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if r := recover(); r != nil {
@@ -415,7 +415,7 @@
 	} else if err != nil {
 		return nil, nil, fmt.Errorf("open %s: %w", path, err)
 	}
-	err = guard(path, func() error {
+	err = Guard(path, func() error {
 		if s, err := os.Stat(path); err == nil && s.Size() == 0 {
 			return bbolterrors.ErrInvalid // bbolt takes it for a new one
 		}
@@ -455,10 +455,10 @@
 	if err != nil {
 		return err
 	}
-	err = guard(path, func() error {
+	err = Guard(path, func() error {
 		return replace(path, func(to *bbolt.DB) error { return bbolt.Compact(to, db, 1<<20) })
 	})
-	if errors.Is(err, ErrDamaged) || guard(path, db.Close) != nil {
+	if errors.Is(err, ErrDamaged) || Guard(path, db.Close) != nil {
 		handle.Close()
 	}
 	if err != nil {
@@ -468,8 +468,13 @@
 }
 
 // replace makes a new database and gives it its name once it is on disk.
-func replace(path string, fill func(*bbolt.DB) error) error {
+func replace(path string, fill func(*bbolt.DB) error) (err error) {
 	next := path + ".new"
+	defer func() {
+		if err != nil { // a full disk has no room for it
+			_ = os.Remove(next)
+		}
+	}()
 	if err := os.Remove(next); err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return err
 	}
