State file: a folder's name is no pattern when a file that was moved aside is looked for

Cause: a glob over data-path: with a bracket in it no file matched, and a core whose file was moved aside could have founded again. TestADamagedFileIsMovedAside now uses such a folder.

--- a/internal/statefile/statefile.go
+++ b/internal/statefile/statefile.go
@@ -13,6 +13,8 @@
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -507,10 +509,13 @@
 	}
 }
 
-// Replaced tells whether a file of this name was ever moved aside.
+// Replaced tells whether a file of this name was ever moved aside, or may have
+// been.
 func Replaced(path string) bool {
-	list, err := filepath.Glob(path + ".damaged-*")
-	return err != nil || len(list) > 0
+	list, err := os.ReadDir(filepath.Dir(path))
+	return err != nil || slices.ContainsFunc(list, func(e fs.DirEntry) bool {
+		return strings.HasPrefix(e.Name(), filepath.Base(path)+".damaged-")
+	})
 }
 
 // makeFolder makes a folder and those above it, so that they outlive a loss of
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -140,7 +140,7 @@
 		"another format":         func([]byte) []byte { return bytes.Repeat([]byte("no database "), 4000) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			path := filepath.Join(t.TempDir(), "deep", "down", "state.db")
+			path := filepath.Join(t.TempDir(), "deep[1", "down", "state.db")
 			s := newState(path)
 			if err := s.Open(); err != nil {
 				t.Fatal(err)
