A core that is gone is missed at once; nobody waits for one that says nothing

Two cores refused their first question, the third said nothing, and a question waited for a dial for 1.5 s. In the simulated cluster the same schedule took 3.8 s: the head's ballot ran to its end, though the other core had settled it meanwhile, and a sign of life that hung kept the head from looking for a new view.

Change: nodes give a parent contact-ms/16 to take a connection. Signs of life and the look for a new view run beside each other. A ballot ends when its view is known; a pass that hangs is given up for a new view.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -81,6 +81,9 @@
 	back      int64                // the last pass that came back whole, at the head
 	answers   [4]through           // the last passes that this member answered, newest first
 	heard     time.Time            // when a pass last went through here
+	gone      bool                 // the successor's machine said that no core runs there
+	stop      func()               // gives the pass up that is under way
+	moved     chan struct{}        // closed when the next view is entered
 	answered  map[Member]time.Time // when a voter last answered
 	strangers map[Member]bool      // voters whose disk was found to be another, and told of
 	life      int64                // of this process, at random
@@ -129,6 +132,13 @@
 	return c.view
 }
 
+// moves is the number of the view, and what is closed when the next is entered.
+func (c *Chain) moves() (int64, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.Number, c.moved
+}
+
 // Steady tells whether this machine is in the view and heard from its chain
 // lately, so that what it tells is not old.
 func (c *Chain) Steady() bool {
@@ -169,7 +179,7 @@
 // those before, so the last one that came back shows that this member was in
 // touch when it answered that one. The lock is held.
 func (c *Chain) passed(p Pass, began time.Time) {
-	c.active, c.heard, c.stamp = true, time.Now(), p.Stamp
+	c.active, c.gone, c.heard, c.stamp = true, false, time.Now(), p.Stamp
 	if p.View.at(c.Self) == 0 {
 		c.back = p.Stamp.Number
 		c.touch(began)
@@ -252,7 +262,9 @@
 	if i >= 0 && c.whole == c.view.Number && v.Members[i].Since <= c.view.Number {
 		c.whole = v.Number
 	}
-	c.view, c.active = v, false
+	c.view, c.active, c.gone = v, false, false
+	close(c.moved)
+	c.moved = make(chan struct{})
 	c.answers = [len(c.answers)]through{}
 	c.Log.Printf("chain: view %v is in force", v)
 }
@@ -306,9 +318,15 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, c.Contact/5)
 		defer cancel()
+		c.mu.Lock()
+		c.stop = cancel
+		c.mu.Unlock()
 		for {
 			var out Passed
 			if err := c.Pool.Post(ctx, next.Address, "/chain/pass", p, nil, &out); err != nil {
+				c.mu.Lock()
+				c.gone = wire.Refused(err)
+				c.mu.Unlock()
 				return fmt.Errorf("pass down the chain: %w", err)
 			}
 			if out.Ahead {
--- a/internal/chain/disk.go
+++ b/internal/chain/disk.go
@@ -27,7 +27,7 @@
 // Open takes the file whose state Found makes and Load reads.
 func (c *Chain) Open(file *statefile.File) {
 	c.db, c.docs, c.write, c.answered = file, Documents{}, make(chan struct{}, 1), map[Member]time.Time{}
-	c.strangers, c.life = map[Member]bool{}, rand.Int64()
+	c.strangers, c.life, c.moved = map[Member]bool{}, rand.Int64(), make(chan struct{})
 	c.Voter.Disk = (*votes)(c)
 }
 
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -147,7 +147,21 @@
 	if v.Number <= c.View().Number {
 		return nil
 	}
-	if err := c.lock(ctx); err != nil {
+	// A pass of the view before may be under way, and hang at a member that is
+	// gone. It is given a while to come back; then it is given up.
+	soon, cancel := context.WithTimeout(ctx, c.Contact/16)
+	err := c.lock(soon)
+	cancel()
+	if err != nil {
+		c.mu.Lock()
+		stop := c.stop
+		c.mu.Unlock()
+		if stop != nil {
+			stop()
+		}
+		err = c.lock(ctx)
+	}
+	if err != nil {
 		return err
 	}
 	defer c.unlock()
@@ -166,9 +180,19 @@
 }
 
 // Tend keeps the chain whole until ctx ends: the head sends signs of life down
-// it, and whoever misses a neighbour calls for a new view.
+// it, and whoever misses a neighbour calls for a new view. A pass may hang at a
+// member that is gone, so neither waits for the other.
 func (c *Chain) Tend(ctx context.Context) {
-	started, mended := time.Now(), time.Time{}
+	var tasks sync.WaitGroup
+	started := time.Now()
+	tasks.Go(func() { c.signs(ctx, started) })
+	tasks.Go(func() { c.look(ctx, started) })
+	tasks.Wait()
+}
+
+// every runs f again and again, sooner while no pass has come through: those
+// that follow may start at any moment.
+func (c *Chain) every(ctx context.Context, f func()) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -179,33 +203,60 @@
 		}
 		c.mu.Lock()
 		next := c.Contact / 16
-		if !c.active { // those that follow may start at any moment
+		if !c.active {
 			next = c.Contact / 80
 		}
 		c.mu.Unlock()
 		timer.Reset(next)
-		view := c.View()
-		head := view.at(c.Self) == 0 && c.works() == nil // the disk's line is logged once
-		if head {
-			err := c.Propose(ctx, nil)
-			if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
-				c.Log.Printf("chain: sign of life: %v", err)
-			}
+		f()
+	}
+}
+
+// signs sends signs of life while this core is the head.
+func (c *Chain) signs(ctx context.Context, started time.Time) {
+	c.every(ctx, func() {
+		if c.View().at(c.Self) != 0 || c.works() != nil { // the disk's line is logged once
+			return
 		}
-		c.mu.Lock()
-		quiet := time.Since(c.heard) > c.Contact/4
-		c.mu.Unlock()
+		err := c.Propose(ctx, nil)
+		if err != nil && ctx.Err() == nil && wire.StatusOf(err) != 421 && time.Since(started) > c.Contact/4 {
+			c.Log.Printf("chain: sign of life: %v", err)
+		}
+	})
+}
+
+// look calls for a new view where one is needed.
+func (c *Chain) look(ctx context.Context, started time.Time) {
+	var mended time.Time
+	c.every(ctx, func() {
 		if time.Since(started) < c.Contact/8 || time.Since(mended) < c.Contact/16 {
-			continue
+			return
 		}
+		view := c.View()
 		// A ballot that somebody began must come to an end: until then no
 		// majority can say that this view is the newest.
-		begun := c.Voter.Accepted(view.Number + 1)
-		if quiet || begun || head && (len(view.Members) < len(view.Voters) || len(c.outside(view)) > 0) {
+		if c.misses(ctx, view) || c.Voter.Accepted(view.Number+1) ||
+			view.at(c.Self) == 0 && c.works() == nil && (len(view.Members) < len(view.Voters) || len(c.outside(view)) > 0) {
 			mended = time.Now()
 			c.mend(ctx, view)
 		}
+	})
+}
+
+// misses tells whether a neighbour in the chain is missed: it is silent for long,
+// or its machine says that no core runs there.
+func (c *Chain) misses(ctx context.Context, view View) bool {
+	c.mu.Lock()
+	silent, gone := time.Since(c.heard), c.gone
+	c.mu.Unlock()
+	at := view.at(c.Self)
+	if silent > c.Contact/4 || gone || at < 1 || silent < c.Contact/8 {
+		return silent > c.Contact/4 || gone
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.Contact/16)
+	defer cancel()
+	_, err := c.standing(ctx, view.Members[at-1], view)
+	return wire.Refused(err)
 }
 
 // outside are the cores heard of that have no vote.
@@ -371,6 +422,15 @@
 	value, _ := json.Marshal(next)
 	bctx, cancel := context.WithTimeout(ctx, c.Contact/4)
 	defer cancel()
+	go func() { // others may have settled it: their answers do not come any more
+		for n, moved := c.moves(); n < next.Number && bctx.Err() == nil; n, moved = c.moves() {
+			select {
+			case <-moved:
+			case <-bctx.Done():
+			}
+		}
+		cancel()
+	}()
 	disks := map[string]string{}
 	var voters []string
 	for _, v := range view.Voters {
@@ -389,6 +449,9 @@
 		err = c.Pool.Post(ctx, voter, "/ballot", call, nil, &r)
 		return r, err
 	})
+	if c.View().Number >= next.Number {
+		return
+	}
 	if err != nil {
 		c.Log.Printf("chain: ballot for view %d: %v", next.Number, err)
 		return
--- a/internal/cluster/control_test.go
+++ b/internal/cluster/control_test.go
@@ -457,3 +457,21 @@
 		w.until(5*time.Second, "the core of the zone is named again", func() bool { return target("10.1.0.1:82") == "10.2.0.1:82" && target("10.2.0.1:82") == "10.2.0.1:82" })
 	})
 }
+
+// A core whose process is gone is missed at once: its machine says so.
+func TestOrdersGoOnSoonAfterTheKillOfACore(t *testing.T) {
+	for _, z := range zones {
+		run(t, func(w *world) {
+			w.configure(options{})
+			time.Sleep(2 * time.Second)
+			w.kill("core-" + z)
+			began := time.Now()
+			w.change("without core-"+z, options{attempts: 5})
+			took := time.Since(began)
+			t.Logf("core-%s killed: an order is acknowledged after %v", z, took)
+			if took > 1200*time.Millisecond { // contact-ms is 4 s
+				t.Errorf("core-%s killed: an order is acknowledged after %v", z, took)
+			}
+		})
+	}
+}
--- a/internal/cluster/failure_test.go
+++ b/internal/cluster/failure_test.go
@@ -503,3 +503,35 @@
 		}
 	})
 }
+
+// After a loss of all power, nodes that are up before the cores, and find one
+// of them cut off, hear the news as soon as the others are in force.
+func TestACoreThatSaysNothingKeepsNobodyFromTheNews(t *testing.T) {
+	run(t, func(w *world) {
+		w.service("plain", "z1", "z2", "z3")
+		w.configure(options{})
+		for name, m := range w.nodes {
+			if m.role != "" {
+				w.kill(name)
+			}
+		}
+		w.net.cut("10.3.0.1", true)
+		for _, z := range zones {
+			w.start("store-"+z, false)
+			w.start("edge-"+z, false)
+		}
+		time.Sleep(30 * time.Millisecond)
+		began := time.Now()
+		for _, z := range zones {
+			w.start("core-"+z, false)
+		}
+		for _, z := range zones {
+			w.until(5*time.Second, "messages are taken at "+z, func() bool { return w.send(z, "/plain/", w.id()).Status == 202 })
+		}
+		took := time.Since(began)
+		t.Logf("serving after %v", took)
+		if took > 1500*time.Millisecond { // contact-ms is 4 s
+			t.Errorf("serving after %v", took)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	Log      *log.Logger
 	Network  wire.Network
 	Pool     *wire.Pool // to our own processes
+	news     *wire.Pool // to the parent, for news
 	Journal  *journal.Journal
 	Self     relay.Node
 	Healthy  func() bool // whether to beat: a store whose disk fails is missed like a dead one
@@ -60,7 +61,9 @@
 		told:    map[string]time.Time{}, moved: make(chan struct{}), beatNow: make(chan struct{}, 1),
 	}
 	n.life, n.end = context.WithCancel(context.Background())
-	n.follower = &relay.Follower{Self: n.Self, Journal: n.Journal, Pool: n.Pool, Cores: set.Cores(), Contact: set.Contact(), Log: logger}
+	// A parent whose machine says nothing must not keep this node from the next one.
+	n.news = &wire.Pool{Network: network, Opening: set.Contact() / 16}
+	n.follower = &relay.Follower{Self: n.Self, Journal: n.Journal, Pool: n.news, Cores: set.Cores(), Contact: set.Contact(), Log: logger}
 	n.Journal.Fold(n.hear)
 	return n
 }
@@ -170,7 +173,7 @@
 	for {
 		if time.Since(told) > 4*n.Settings.Contact() {
 			told = time.Now()
-			n.Log.Printf("traffic: in %v: %s", 4*n.Settings.Contact(), n.Pool.Tally())
+			n.Log.Printf("traffic: in %v: %s; news: %s", 4*n.Settings.Contact(), n.Pool.Tally(), n.news.Tally())
 		}
 		n.mu.Lock()
 		n.sequence++
