Search: random schedules over clusters of real cores, first version

Whole clusters of cores on the simulated network and clock, driven by schedules that rapid draws and shrinks; histories checked with porcupine, views, news and leavings by invariants.

--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -21,12 +22,20 @@
 	dark      map[string]bool    // by IP: packets to and from it are lost
 	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
-	meddle    func(b []byte) []byte   // makes something else of what is written
-	seen      func(c *conn, b []byte) // called with all that is written and not lost, if set
+	meddle    func(b []byte) []byte        // makes something else of what is written
+	seen      func(c *conn, b []byte)      // called with all that is written and not lost, if set
+	held      map[[2]string]int            // from one IP to another: delivered once nobody holds it any more
+	holding   map[[2]string]map[*pipe]bool // what has held bytes
+	jitter    time.Duration                // what a packet may take longer than others
+	rng       *rand.Rand                   // draws the jitter
+	// request, where it is set, sees each request before it is sent. It gives
+	// the bytes to send in its place, and an answer if it is not to be sent.
+	request func(from *process, to string, b []byte) (out, answer []byte)
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, dark: map[string]bool{}, severed: map[[2]string]bool{}, delay: time.Millisecond}
+	return &network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, dark: map[string]bool{}, severed: map[[2]string]bool{}, delay: time.Millisecond,
+		held: map[[2]string]int{}, holding: map[[2]string]map[*pipe]bool{}, rng: rand.New(rand.NewPCG(1, 2))}
 }
 
 // process is one life of a process on the network.
@@ -34,6 +43,7 @@
 	net  *network
 	ip   string
 	dead bool
+	free bool // no cut and no hold strikes what it sends and gets
 }
 
 type listener struct {
@@ -95,9 +105,16 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	for !p.free && n.holds(p.ip, ip) { // the handshake is held up as well
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
 	n.mu.Lock()
 	l := n.listeners[addr]
-	silent := n.loses(p.ip, ip) || n.loses(ip, p.ip)
+	silent := !p.free && (n.loses(p.ip, ip) || n.loses(ip, p.ip))
 	if p.dead || l == nil || silent {
 		n.mu.Unlock()
 		if p.dead || silent {
@@ -106,8 +123,8 @@
 		}
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
-	a, b := newPipe(n), newPipe(n)
-	near := &conn{in: a, out: b, owner: p, peer: l.owner}
+	a, b := newPipe(), newPipe()
+	near := &conn{in: a, out: b, owner: p, peer: l.owner, to: addr}
 	far := &conn{in: b, out: a, owner: l.owner, peer: p}
 	n.conns[near], n.conns[far] = true, true
 	n.mu.Unlock()
@@ -140,11 +157,63 @@
 		l.Close()
 	}
 	for _, c := range cs {
-		c.in.close(syscall.ECONNRESET)
-		c.out.close(syscall.ECONNRESET)
+		c.reset()
+	}
+}
+
+// reset ends the connections between two machines.
+func (n *network) reset(a, b string) {
+	n.mu.Lock()
+	var cs []*conn
+	for c := range n.conns {
+		if c.owner.ip == a && c.peer.ip == b || c.owner.ip == b && c.peer.ip == a {
+			cs = append(cs, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range cs {
+		c.reset()
 	}
 }
 
+// hold keeps back what goes from one machine to another, also what a sender
+// that gave up and closed has written, as a network stack does that sends
+// again until a cut heals. Each hold needs its release.
+func (n *network) hold(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[[2]string{from, to}]++
+}
+
+// release delivers what was held, unless another hold is left.
+func (n *network) release(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	link := [2]string{from, to}
+	if n.held[link]--; n.held[link] > 0 {
+		return
+	}
+	for p := range n.holding[link] {
+		p.release(n.delay)
+	}
+	delete(n.holding, link)
+}
+
+// holds tells whether a handshake between two machines is held up.
+func (n *network) holds(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.held[[2]string{a, b}] > 0 || n.held[[2]string{b, a}] > 0
+}
+
+// vary lets each packet take up to so much longer, so that what is sent on one
+// connection overtakes what is sent on another.
+func (n *network) vary(most time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.jitter = most
+}
+
 // cut makes a machine dark, or lights it again.
 func (n *network) cut(ip string, dark bool) {
 	n.mu.Lock()
@@ -184,14 +253,40 @@
 type conn struct {
 	in, out     *pipe
 	owner, peer *process
+	to          string // the address that was dialled; empty for the side that accepted
+}
+
+func (c *conn) reset() {
+	c.in.close(syscall.ECONNRESET)
+	c.out.close(syscall.ECONNRESET)
 }
 
 func (c *conn) Read(b []byte) (int, error) { return c.in.read(b) }
 
 func (c *conn) Write(b []byte) (int, error) {
 	n := c.owner.net
+	sent := b
+	if n.request != nil && c.to != "" {
+		var answer []byte
+		if sent, answer = n.request(c.owner, c.to, b); answer != nil {
+			_, err := c.in.write(answer, n.takes(), false)
+			return len(b), err
+		}
+	}
+	free := c.owner.free || c.peer.free
+	link := [2]string{c.owner.ip, c.peer.ip}
 	n.mu.Lock()
-	lost, meddle, seen := n.loses(c.owner.ip, c.peer.ip), n.meddle, n.seen
+	lost, held, delay := !free && n.loses(link[0], link[1]), !free && n.held[link] > 0, n.delay
+	meddle, seen := n.meddle, n.seen
+	if n.jitter > 0 && !free {
+		delay += time.Duration(n.rng.Int64N(int64(n.jitter)))
+	}
+	if held && !lost {
+		if n.holding[link] == nil {
+			n.holding[link] = map[*pipe]bool{}
+		}
+		n.holding[link][c.out] = true
+	}
 	n.mu.Unlock()
 	if lost {
 		return len(b), nil
@@ -200,12 +295,13 @@
 		seen(c, b)
 	}
 	if meddle != nil {
-		if _, err := c.out.write(meddle(b)); err != nil {
-			return 0, err
-		}
-		return len(b), nil
+		sent = meddle(sent)
+	}
+	_, err := c.out.write(sent, delay, held)
+	if err != nil {
+		return 0, err
 	}
-	return c.out.write(b)
+	return len(b), nil
 }
 
 func (c *conn) Close() error {
@@ -226,7 +322,6 @@
 
 // pipe is one direction of a connection.
 type pipe struct {
-	net      *network
 	mu       sync.Mutex
 	chunks   []chunk
 	end      error
@@ -236,10 +331,11 @@
 
 type chunk struct {
 	at   time.Time
+	held bool
 	data []byte
 }
 
-func newPipe(n *network) *pipe { return &pipe{net: n, wake: make(chan struct{})} }
+func newPipe() *pipe { return &pipe{wake: make(chan struct{})} }
 
 func (p *pipe) stir() {
 	close(p.wake)
@@ -263,17 +359,29 @@
 	}
 }
 
-func (p *pipe) write(b []byte) (int, error) {
+func (p *pipe) write(b []byte, delay time.Duration, held bool) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.end != nil {
 		return 0, syscall.EPIPE
 	}
-	p.chunks = append(p.chunks, chunk{time.Now().Add(p.net.takes()), append([]byte(nil), b...)})
+	p.chunks = append(p.chunks, chunk{time.Now().Add(delay), held, append([]byte(nil), b...)})
 	p.stir()
 	return len(b), nil
 }
 
+// release lets the bytes that were held arrive after a delay.
+func (p *pipe) release(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.chunks {
+		if c := &p.chunks[i]; c.held {
+			c.at, c.held = time.Now().Add(delay), false
+		}
+	}
+	p.stir()
+}
+
 func (p *pipe) read(b []byte) (int, error) {
 	for {
 		p.mu.Lock()
@@ -291,7 +399,7 @@
 		}
 		if len(p.chunks) > 0 {
 			c := &p.chunks[0]
-			if !c.at.After(now) {
+			if !c.held && !c.at.After(now) {
 				n := copy(b, c.data)
 				if c.data = c.data[n:]; len(c.data) == 0 {
 					p.chunks = p.chunks[1:]
@@ -299,7 +407,9 @@
 				p.mu.Unlock()
 				return n, nil
 			}
-			wait = min(wait, c.at.Sub(now))
+			if !c.held {
+				wait = min(wait, c.at.Sub(now))
+			}
 		}
 		wake := p.wake
 		p.mu.Unlock()
--- a/internal/cluster/orders_test.go
+++ b/internal/cluster/orders_test.go
@@ -14,8 +14,8 @@
 	"saltreel/internal/wire"
 )
 
-// order is one change that an operator sends, the same bytes each time.
-type order struct {
+// change is what an operator sends, the same bytes each time.
+type change struct {
 	match    int
 	raw      []byte
 	answer   int // the clear one, 0 without
@@ -113,7 +113,7 @@
 }
 
 // send sends an order to one core after the other until an answer is clear.
-func (o *order) send(w *world, first int) {
+func (o *change) send(w *world, first int) {
 	for o.attempts = 0; o.answer == 0 && o.attempts < 60; o.attempts++ {
 		switch code := w.put(w.controls()[(first+o.attempts)%3], o.match, o.raw); code {
 		case 0, 307, 408, 429, 500, 502, 503, 504:
@@ -149,7 +149,7 @@
 			}
 		}()
 		var mu sync.Mutex
-		var orders []*order
+		var orders []*change
 		var operators sync.WaitGroup
 		for i := range 8 {
 			operators.Go(func() {
@@ -161,7 +161,7 @@
 					if err != nil || json.Unmarshal(raw, &head) != nil {
 						continue
 					}
-					o := &order{match: head.Revision, raw: w.configuration(head.Revision+1, options{rate: float64(1000 + 100*i + n)})}
+					o := &change{match: head.Revision, raw: w.configuration(head.Revision+1, options{rate: float64(1000 + 100*i + n)})}
 					o.send(w, i)
 					mu.Lock()
 					orders = append(orders, o)
@@ -172,7 +172,7 @@
 		operators.Wait()
 		close(stop)
 		<-lossy
-		winners := map[int]*order{}
+		winners := map[int]*change{}
 		resent, lost := 0, 0
 		for _, o := range orders {
 			resent += o.attempts - 1
--- a/internal/cluster/scale_test.go
+++ b/internal/cluster/scale_test.go
@@ -189,7 +189,7 @@
 				r = &result{mean: map[string]float64{}}
 				out[role] = r
 			}
-			if control(n.by[ip], true) > control(r.busiest, true) {
+			if sumOf(n.by[ip], true) > sumOf(r.busiest, true) {
 				r.busiest = n.by[ip]
 			}
 			r.conns = max(r.conns, open[ip])
@@ -202,8 +202,8 @@
 	return out, spent
 }
 
-// control is the bytes of all kinds, or of those that are not of messages.
-func control(kinds map[string]*counted, all bool) (sum int) {
+// sumOf is the bytes of all kinds, or of those that are not of messages.
+func sumOf(kinds map[string]*counted, all bool) (sum int) {
 	for kind, c := range kinds {
 		if all || !ofMessages(kind) {
 			sum += c.bytesIn + c.bytesOut
@@ -271,11 +271,11 @@
 		roles, spent := count(t, s, during)
 		t.Logf("%+v: %.2f ms of processor time a second, all together", s, per(int(spent.Microseconds()))/1000)
 		for role, r := range roles {
-			if got := per(control(r.busiest, false)); role != "core" && got > plan {
+			if got := per(sumOf(r.busiest, false)); role != "core" && got > plan {
 				t.Errorf("%+v: control takes %.0f B/s at the busiest %s, the plan is %d", s, got, role, plan)
 			}
 			t.Logf("%+v: busiest of %d %ss: %.0f B/s, control %.0f B/s; %d connections", s, r.machines, role,
-				per(control(r.busiest, true)), per(control(r.busiest, false)), r.conns)
+				per(sumOf(r.busiest, true)), per(sumOf(r.busiest, false)), r.conns)
 			for _, kind := range slices.Sorted(maps.Keys(r.busiest)) {
 				c := r.busiest[kind]
 				t.Logf("    %-14s in %7.1f/s %9.0f B/s   out %7.1f/s %9.0f B/s   mean machine %9.0f B/s", kind, per(c.in), per(c.bytesIn), per(c.out), per(c.bytesOut),
--- /dev/null
+++ b/internal/cluster/search_test.go
@@ -0,0 +1,167 @@
+package cluster
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The search plays random schedules on whole clusters of cores and looks
+// whether what operators, readers, handlers and nodes saw was right.
+//
+//	go test ./internal/cluster -run TestSearch                       the seeds of each build
+//	go test ./internal/cluster -run TestSearch -search.seed 17       one of them again
+//	go test ./internal/cluster -run TestSearch -search.count 5000    many
+//	go test ./internal/cluster -run TestSearch -search.for 1h        as many as there is time for
+//
+// The simulated clock does not order what goroutines do at one moment, so a
+// schedule is the same each time, and what happens in it nearly so: a seed is
+// played again up to -search.again times before it counts as passed.
+var (
+	searchSeed  = flag.Int("search.seed", envInt("SALTREEL_SEARCH_SEED", 0), "play only the schedule of this seed")
+	searchFirst = flag.Int("search.first", 1, "the first seed")
+	searchCount = flag.Int("search.count", 60, "how many schedules are played")
+	searchFor   = flag.Duration("search.for", 0, "play schedules for so long")
+	searchAgain = flag.Int("search.again", 5, "how often one seed, or a schedule that is shrunk, is played")
+	shrinkFor   = flag.Duration("search.shrink", 20*time.Second, "how long a schedule that fails is shrunk")
+)
+
+func envInt(name string, other int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return other
+}
+
+func TestSearch(t *testing.T) {
+	if *searchSeed != 0 {
+		judgeSeed(t, *searchSeed, *searchAgain)
+		return
+	}
+	began := time.Now()
+	var next, played, failed atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for worker := range runtime.GOMAXPROCS(0) {
+			t.Run(fmt.Sprint(worker), func(t *testing.T) {
+				t.Parallel()
+				for {
+					n := int(next.Add(1)) - 1
+					if *searchFor > 0 && time.Since(began) > *searchFor || *searchFor == 0 && n >= *searchCount {
+						return
+					}
+					if !judgeSeed(t, *searchFirst+n, 1) {
+						failed.Add(1)
+					}
+					played.Add(1)
+				}
+			})
+		}
+	})
+	t.Logf("%d schedules in %v, %d failed", played.Load(), time.Since(began).Round(time.Second), failed.Load())
+}
+
+// judgeSeed plays the schedule of a seed; one that fails is shrunk and shown.
+func judgeSeed(t *testing.T, seed, times int) bool {
+	t.Helper()
+	plan := draw(seed)
+	for range times {
+		f := play(t, plan, plant{})
+		if f == nil {
+			continue
+		}
+		small, g := shrink(t, seed, plan, f, plant{})
+		t.Errorf("seed %d fails (-search.seed %[1]d): %s\n\nshrunk:\n%v\n\n%v\n\nas drawn:\n%v\n\n%v", seed, f.class, small, g, plan, f)
+		return false
+	}
+	return true
+}
+
+// rapidFlags guards the flags of rapid, by which alone a seed can be given to it.
+var rapidFlags sync.Mutex
+
+// draw gives the schedule of a seed.
+func draw(seed int) schedule {
+	rapidFlags.Lock()
+	defer rapidFlags.Unlock()
+	return schedules.Example(seed)
+}
+
+// shrink looks for a smaller schedule that fails in the same way.
+func shrink(t *testing.T, seed int, plan schedule, f *finding, p plant) (schedule, *finding) {
+	t.Helper()
+	if *shrinkFor <= 0 {
+		return plan, f
+	}
+	rapidFlags.Lock()
+	defer rapidFlags.Unlock()
+	for name, value := range map[string]string{"seed": fmt.Sprint(seed), "checks": "1", "nofailfile": "true", "shrinktime": shrinkFor.String()} {
+		if err := flag.Set("rapid."+name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	small := f
+	best := plan
+	known := map[string]bool{plan.String(): true} // rapid wants the same answer each time
+	done := make(chan struct{})
+	go func() { // rapid ends the goroutine of a check that failed
+		defer close(done)
+		rapid.Check(&quiet{}, func(rt *rapid.T) {
+			x := schedules.Draw(rt, "schedule")
+			key := x.String()
+			fails, ok := known[key]
+			for try := 0; !ok && !fails && try < 2; try++ {
+				if g := play(t, x, p); g != nil && g.class == f.class {
+					fails, best, small = true, x, g
+				}
+			}
+			known[key] = fails
+			if fails {
+				rt.Fatal(f.class)
+			}
+		})
+	}()
+	<-done
+	return best, small
+}
+
+// quiet is what rapid tells; the search tells itself what it found.
+type quiet struct{ failed atomic.Bool }
+
+func (*quiet) Helper()                 {}
+func (*quiet) Name() string            { return "search" }
+func (*quiet) Logf(string, ...any)     {}
+func (*quiet) Log(...any)              {}
+func (*quiet) Skipf(string, ...any)    {}
+func (*quiet) Skip(...any)             {}
+func (*quiet) SkipNow()                {}
+func (q *quiet) Errorf(string, ...any) { q.Fail() }
+func (q *quiet) Error(...any)          { q.Fail() }
+func (q *quiet) Fatalf(string, ...any) { q.FailNow() }
+func (q *quiet) Fatal(...any)          { q.FailNow() }
+func (q *quiet) FailNow()              { q.Fail(); runtime.Goexit() }
+func (q *quiet) Fail()                 { q.failed.Store(true) }
+func (q *quiet) Failed() bool          { return q.failed.Load() }
+
+// The schedule that rapid shrinks must be the one that the seed stands for.
+func TestShrinkingBeginsWithTheSchedulePlayed(t *testing.T) {
+	for seed := 1; seed < 50; seed++ {
+		plan := draw(seed)
+		rapidFlags.Lock()
+		_ = flag.Set("rapid.seed", fmt.Sprint(seed))
+		_ = flag.Set("rapid.checks", "1")
+		same := false
+		rapid.Check(&quiet{}, func(rt *rapid.T) { same = schedules.Draw(rt, "schedule").String() == plan.String() })
+		rapidFlags.Unlock()
+		if !same {
+			t.Fatalf("seed %d: another schedule is shrunk than played", seed)
+		}
+	}
+}
