--- a/internal/cluster/scale_test.go
+++ b/internal/cluster/scale_test.go
@@ -28,14 +28,14 @@
 // that beat; messages a second.
 type size struct{ nodes, handlers, messages int }
 
-// counted is the traffic of one kind at one machine, with headers.
-type counted struct{ in, out, bytesIn, bytesOut int }
+// tallied is the traffic of one kind at one machine, with headers.
+type tallied struct{ in, out, bytesIn, bytesOut int }
 
 // counter counts what goes over the network, by machine and kind.
 type counter struct {
 	mu    sync.Mutex
 	kinds map[*pipe]string // what was last asked in this direction
-	by    map[string]map[string]*counted
+	by    map[string]map[string]*tallied
 }
 
 func (n *counter) see(c *conn, b []byte) {
@@ -56,12 +56,12 @@
 	to.bytesIn += len(b)
 }
 
-func (n *counter) at(ip, kind string) *counted {
+func (n *counter) at(ip, kind string) *tallied {
 	if n.by[ip] == nil {
-		n.by[ip] = map[string]*counted{}
+		n.by[ip] = map[string]*tallied{}
 	}
 	if n.by[ip][kind] == nil {
-		n.by[ip][kind] = &counted{}
+		n.by[ip][kind] = &tallied{}
 	}
 	return n.by[ip][kind]
 }
@@ -95,9 +95,9 @@
 
 const clients = "10.9.0.1"
 
-// result is what was counted for one role.
+// result is what was tallied for one role.
 type result struct {
-	busiest  map[string]*counted // the machine with the most bytes, by kind
+	busiest  map[string]*tallied // the machine with the most bytes, by kind
 	mean     map[string]float64  // bytes both ways of a machine, by kind
 	conns    int                 // the most that a machine had open
 	machines int
@@ -158,7 +158,7 @@
 		w.configure(options{})
 		w.beats(s.handlers)
 		time.Sleep(10 * time.Second)
-		n := &counter{kinds: map[*pipe]string{}, by: map[string]map[string]*counted{}}
+		n := &counter{kinds: map[*pipe]string{}, by: map[string]map[string]*tallied{}}
 		w.net.mu.Lock()
 		w.net.seen = n.see
 		w.net.mu.Unlock()
@@ -203,7 +203,7 @@
 }
 
 // sumOf is the bytes of all kinds, or of those that are not of messages.
-func sumOf(kinds map[string]*counted, all bool) (sum int) {
+func sumOf(kinds map[string]*tallied, all bool) (sum int) {
 	for kind, c := range kinds {
 		if all || !ofMessages(kind) {
 			sum += c.bytesIn + c.bytesOut
@@ -256,7 +256,7 @@
 }
 
 // What control costs a node that is no core stays within the plan at a small
-// size; with -scale the traffic of larger ones is counted and printed.
+// size; with -scale the traffic of larger ones is tallied and printed.
 func TestControlTrafficOfANode(t *testing.T) {
 	const during = 12 * time.Second
 	for _, s := range []size{
