Relay: the first node of a zone stays with one of its zone's cores

Where a zone has two cores, the node at the top of its tree went from one to the other every few seconds for good: the cores of the own zone were listed in the order of a map. The cores of the zone are sorted now, and each node begins at one of them by its name, as with those of other zones.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,11 +227,17 @@
 			far = append(far, c)
 		}
 	}
-	if len(far) > 1 {
-		k := int(ring.Hash(f.Self.Name) % uint64(len(far)))
-		far = append(far[k:len(far):len(far)], far[:k]...)
+	// Nodes begin at different ones, each always at the same: to whom goes from
+	// one to another is told all that the two journals do not share.
+	turn := func(list []string) []string {
+		if len(list) < 2 {
+			return list
+		}
+		k := int(ring.Hash(f.Self.Name) % uint64(len(list)))
+		return append(list[k:len(list):len(list)], list[:k]...)
 	}
-	cores := append(near, far...)
+	sort.Strings(near)
+	cores := append(turn(near), turn(far)...)
 	// Stores sit at the top of the zone's tree: they need the news first.
 	place := func(n Node) (int, string) {
 		if n.Role == "store" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,18 @@
 		})
 	}
 }
+
+// The first node of a zone with several cores stays with one of them.
+func TestAParentAmongCoresOfTheZoneIsKept(t *testing.T) {
+	f := &Follower{Self: Node{Name: "store-1", Role: "store", Zone: "a"}, nodes: map[string]Node{}}
+	for i := range 4 {
+		name := fmt.Sprint("core-", i)
+		f.nodes[name] = Node{Name: name, Role: "core", Address: name + ":1", Zone: "a"}
+	}
+	first := f.Parents()
+	for range 50 {
+		if got := f.Parents(); !slices.Equal(got, first) {
+			t.Fatalf("%v, then %v", first, got)
+		}
+	}
+}
