--- a/internal/cluster/scale_test.go
+++ b/internal/cluster/scale_test.go
@@ -145,7 +145,7 @@
 				name += fmt.Sprintf("-%d", i)
 			}
 			if i >= 3 {
-				ip = fmt.Sprintf("10.%d.1.%d", z+1, i)
+				ip = fmt.Sprintf("10.%d.%d.%d", z+1, 1+i/250, 1+i%250)
 			}
 			w.nodes[name] = &machine{name: name, role: role, zone: zones[z], ip: ip, data: filepath.Join(w.dir, name)}
 			roles[ip] = role
