An edge that cannot reach a meter gives for that time only, and the meter hears of it

A tenant sends many times its usual while stores are rolled; its meter moves six times within 1.5 s, and each time edges may let through what they are used to.

Ruled out: the meters themselves (10 at each start, then the rate); grants sent twice.

Change: the allowance counts from the meter's last answer, with nothing saved up. What was let through goes to the meter with the next question and is taken off what it has gathered since it began: a cut edge and the meter do not both give the same second.

--- a/internal/cluster/path_test.go
+++ b/internal/cluster/path_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"saltreel/internal/store"
 	"saltreel/internal/wire"
 )
 
@@ -309,3 +310,64 @@
 		}
 	})
 }
+
+// The store of a tenant's meter is rolled while the tenant sends far beyond its
+// limit: neither the meter that comes nor the edges that wait for it give more.
+func TestTenantLimitHoldsWhileItsMeterMoves(t *testing.T) {
+	const rate = 200.0
+	for _, at := range []time.Duration{300 * time.Millisecond, 1300 * time.Millisecond, 2500 * time.Millisecond} {
+		run(t, func(w *world) {
+			w.service("plain", "z1", "z2", "z3")
+			w.configure(options{rate: rate, burst: rate})
+			s, err := w.status()
+			if err != nil {
+				t.Fatal(err)
+			}
+			meter := s.Placement.Partitions[store.MeterPartition("one", len(s.Placement.Partitions))].Primary
+			var mu sync.Mutex
+			var taken []time.Time
+			var wg sync.WaitGroup
+			n := 0
+			press := func(perS int, d time.Duration) {
+				for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second / time.Duration(perS)) {
+					n++
+					zone, id := zones[n%3], fmt.Sprintf("q%d", n)
+					wg.Go(func() {
+						sent := time.Now()
+						if a := w.send(zone, "/plain/", id); a.Status == 202 {
+							mu.Lock()
+							defer mu.Unlock()
+							taken = append(taken, sent)
+						}
+					})
+				}
+			}
+			press(100, 2*time.Second)
+			wg.Go(func() {
+				time.Sleep(at)
+				w.terminate(meter)
+				time.Sleep(500 * time.Millisecond)
+				w.start(meter, false)
+			})
+			press(800, 6*time.Second)
+			wg.Wait()
+			most := 0
+			for i := range taken {
+				k := 0
+				for _, x := range taken {
+					if d := x.Sub(taken[i]); d >= 0 && d < 5*time.Second {
+						k++
+					}
+				}
+				most = max(most, k)
+			}
+			t.Logf("meter moves after %v: %d taken in 5 s", at, most)
+			if limit := (rate*5+rate)*1.1 + 20; float64(most) > limit {
+				t.Errorf("meter moves after %v: %d taken in 5 s, %v allowed", at, most, limit)
+			}
+			if most < int(rate*5) {
+				t.Errorf("meter moves after %v: %d taken in 5 s of %v owed", at, most, rate*6)
+			}
+		})
+	}
+}
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -36,7 +36,8 @@
 	refused time.Time     // no use asking again before
 	meter   time.Time     // when the meter last answered
 	spare   float64       // allowance while the meter is out of reach
-	spareAt time.Time
+	spareAt time.Time     // up to when it was reckoned
+	spent   float64       // let through so, and not yet told to the meter
 }
 
 func (g *grants) round() time.Duration { return g.node.Settings.Contact() / 16 }
@@ -106,18 +107,25 @@
 }
 
 // alone lets a little through while the meter of a tenant is out of reach, and
-// for two windows at most: no more than the meter gave this edge before.
+// for two windows at most: no more than the meter gave this edge before, for the
+// time since it last answered. A meter that moves is out of reach again and
+// again for a moment, so nothing may be saved up for that in between. The meter
+// hears of it with the next question.
 func (g *grants) alone(x *grant, t *configuration.Tenant, now time.Time) bool {
 	if now.Sub(x.meter) > quota.Window*2 {
 		return false
 	}
 	rate := min(x.rate, x.granted)
+	if x.spareAt.Before(x.meter) {
+		x.spare, x.spareAt = 0, x.meter
+	}
 	x.spare = min(max(1, rate/4), x.spare+rate*now.Sub(x.spareAt).Seconds())
 	x.spareAt = now
 	if x.spare < 1 {
 		return false
 	}
 	x.spare--
+	x.spent++
 	return true
 }
 
@@ -182,12 +190,15 @@
 		}
 		at := p.Partitions[store.MeterPartition(name, len(p.Partitions))].Primary
 		if byStore[at].Want == nil {
-			byStore[at] = store.Grant{Partitions: len(p.Partitions), Want: map[string]float64{}, Back: map[string]float64{}}
+			byStore[at] = store.Grant{Partitions: len(p.Partitions), Want: map[string]float64{}, Back: map[string]float64{}, Spent: map[string]float64{}}
 		}
 		if x.left > 0 && time.Now().After(x.until) { // what was not used goes back
 			byStore[at].Back[name] = x.left
 			x.left = 0
 		}
+		if x.spent > 0 {
+			byStore[at].Spent[name] = x.spent
+		}
 		byStore[at].Want[name] = max(1, float64(x.waiting), g.ahead(x)-x.left)
 	}
 	g.mu.Unlock()
@@ -217,6 +228,7 @@
 					x.left = 0
 				}
 				given := out.Given[name]
+				x.spent = max(0, x.spent-in.Spent[name])
 				x.left += given
 				x.given += given
 				x.until, x.meter, x.lost = began.Add(quota.Window), now, false
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -33,6 +33,7 @@
 type meter struct {
 	tokens float64
 	filled time.Time
+	began  time.Time
 }
 
 // Grant asks for grants by tenant.
@@ -40,6 +41,8 @@
 	Partitions int                `json:"partitions"`
 	Want       map[string]float64 `json:"want"`
 	Back       map[string]float64 `json:"back,omitempty"` // granted earlier and not used
+	// Spent is what was let through while the meter did not answer.
+	Spent map[string]float64 `json:"spent,omitempty"`
 }
 
 // Granted gives them, and tells how long to wait for the next where nothing is left.
@@ -78,7 +81,10 @@
 		most := math.Max(1, tenant.BurstSize) + max(0, m.share-tenant.RatePerS/10)
 		x.tokens = min(most, x.tokens+tenant.RatePerS*now.Sub(x.filled).Seconds()+in.Back[name])
 		x.filled = now
-		give := min(math.Floor(x.tokens), math.Ceil(want))
+		// What edges let through since this meter began was let through of what it
+		// has gathered; before, another one's.
+		x.tokens -= min(in.Spent[name], tenant.RatePerS*now.Sub(x.began).Seconds())
+		give := max(0, min(math.Floor(x.tokens), math.Ceil(want)))
 		x.tokens -= give
 		out.Given[name] = give
 		if give < want {
@@ -95,7 +101,7 @@
 	x := m.tenants[t.Name]
 	if x == nil {
 		paused := m.paused(MeterPartition(t.Name, partitions))
-		x = &meter{tokens: min(math.Max(t.BurstSize, m.share), m.share+t.RatePerS*paused.Seconds()), filled: now}
+		x = &meter{tokens: min(math.Max(t.BurstSize, m.share), m.share+t.RatePerS*paused.Seconds()), filled: now, began: now}
 		m.tenants[t.Name] = x
 	}
 	return x
--- a/internal/store/meter_test.go
+++ b/internal/store/meter_test.go
@@ -58,3 +58,31 @@
 		})
 	}
 }
+
+// What edges let through while the meter did not answer them is taken off what it
+// has gathered meanwhile, but a new meter does not answer for the one before.
+func TestAMeterIsToldWhatWasLetThroughWithoutIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := configuration.NewTable(&configuration.Configuration{TenantTable: []*configuration.Tenant{{Name: "a", RatePerS: 100, BurstSize: 100}}})
+		m := &meters{share: 10, tenants: map[string]*meter{}, leads: func(int) bool { return true },
+			paused: func(int) time.Duration { return 0 }, mark: func() {}, table: func() *configuration.Table { return table }}
+		ask := func(spent float64) float64 {
+			out, err := m.handle(t.Context(), &Grant{Partitions: 4, Want: map[string]float64{"a": 1000}, Spent: map[string]float64{"a": spent}}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return out.Given["a"]
+		}
+		if got := ask(80); got != 10 {
+			t.Errorf("a new meter gives %v, not 10", got)
+		}
+		time.Sleep(2 * time.Second) // out of reach of an edge that lets 150 through
+		if got := ask(150); got != 0 {
+			t.Errorf("%v given, 100 are gathered and 150 spent", got)
+		}
+		time.Sleep(600 * time.Millisecond)
+		if got := ask(0); got != 10 {
+			t.Errorf("%v given, not 10", got)
+		}
+	})
+}
