--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"time"
 
 	"saltreel/internal/chain"
 	"saltreel/internal/handler"
@@ -70,14 +71,35 @@
 		}
 	}
 	consider(c.self, c.set.Zone, c.set.Region)
-	for _, n := range c.registry.nodes() {
-		if n.Role == "core" && n.Address != c.self && n.age < c.contact*3/8 && slices.ContainsFunc(view.Members, func(m chain.Member) bool { return m.Address == n.Address }) {
+	for _, n := range c.coresHeard() {
+		if n.age < c.contact*3/8 && slices.ContainsFunc(view.Members, func(m chain.Member) bool { return m.Address == n.Address }) {
 			consider(n.Address, n.Zone, n.Region)
 		}
 	}
 	return c.controlOf(best.address)
 }
 
+// coresHeard are the other cores as they were heard of a moment ago: each beat of
+// a handler asks for them, and the list of all nodes goes through all handlers.
+func (c *Core) coresHeard() []nodeAge {
+	c.mu.Lock()
+	list, fresh := c.cores, time.Since(c.coresAt) < c.contact/40
+	c.mu.Unlock()
+	if fresh {
+		return list
+	}
+	list = nil
+	for _, n := range c.registry.nodes() {
+		if n.Role == "core" && n.Address != c.self {
+			list = append(list, n)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cores, c.coresAt = list, time.Now()
+	return list
+}
+
 // controlOf is the control-plane address of the core at an internal address:
 // ports are alike on all machines. It is "" if there is none.
 func (c *Core) controlOf(internal string) string {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -71,7 +71,9 @@
 
 	wake    chan struct{}
 	probing map[string]time.Time // since when a node is asked whether it runs
-	life    context.Context      // of what the core does on its own
+	cores   []nodeAge            // the other cores, as last listed
+	coresAt time.Time
+	life    context.Context // of what the core does on its own
 	end     context.CancelFunc
 	tasks   sync.WaitGroup
 	opened  atomic.Bool // the state on disk is read
