--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -22,15 +22,16 @@
 	dark      map[string]bool    // by IP: packets to and from it are lost
 	severed   map[[2]string]bool // from one IP to another: lost too
 	delay     time.Duration
-	meddle    func(b []byte) []byte        // makes something else of what is written
-	seen      func(c *conn, b []byte)      // called with all that is written and not lost, if set
 	held      map[[2]string]int            // from one IP to another: delivered once nobody holds it any more
 	holding   map[[2]string]map[*pipe]bool // what has held bytes
 	jitter    time.Duration                // what a packet may take longer than others
 	rng       *rand.Rand                   // draws the jitter
+	opens     bool                         // connections open past all cuts; what is sent on them does not
 	// request, where it is set, sees each request before it is sent. It gives
 	// the bytes to send in its place, and an answer if it is not to be sent.
 	request func(from *process, to string, b []byte) (out, answer []byte)
+	meddle  func(b []byte) []byte   // makes something else of what is written
+	seen    func(c *conn, b []byte) // called with all that is written and not lost, if set
 }
 
 func newNetwork() *network {
@@ -105,7 +106,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	for !p.free && n.holds(p.ip, ip) { // the handshake is held up as well
+	for !p.free && !n.opens && n.holds(p.ip, ip) { // the handshake is held up as well
 		select {
 		case <-time.After(10 * time.Millisecond):
 		case <-ctx.Done():
@@ -114,7 +115,7 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[addr]
-	silent := !p.free && (n.loses(p.ip, ip) || n.loses(ip, p.ip))
+	silent := !p.free && !n.opens && (n.loses(p.ip, ip) || n.loses(ip, p.ip))
 	if p.dead || l == nil || silent {
 		n.mu.Unlock()
 		if p.dead || silent {
@@ -206,6 +207,13 @@
 	return n.held[[2]string{a, b}] > 0 || n.held[[2]string{b, a}] > 0
 }
 
+// clear tells whether two machines reach each other, as far as cuts and holds say.
+func (n *network) clear(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.loses(a, b) && !n.loses(b, a) && n.held[[2]string{a, b}] <= 0 && n.held[[2]string{b, a}] <= 0
+}
+
 // vary lets each packet take up to so much longer, so that what is sent on one
 // connection overtakes what is sent on another.
 func (n *network) vary(most time.Duration) {
@@ -277,7 +285,6 @@
 	link := [2]string{c.owner.ip, c.peer.ip}
 	n.mu.Lock()
 	lost, held, delay := !free && n.loses(link[0], link[1]), !free && n.held[link] > 0, n.delay
-	meddle, seen := n.meddle, n.seen
 	if n.jitter > 0 && !free {
 		delay += time.Duration(n.rng.Int64N(int64(n.jitter)))
 	}
@@ -287,6 +294,7 @@
 		}
 		n.holding[link][c.out] = true
 	}
+	meddle, seen := n.meddle, n.seen
 	n.mu.Unlock()
 	if lost {
 		return len(b), nil
--- a/internal/cluster/search_history_test.go
+++ b/internal/cluster/search_history_test.go
@@ -52,12 +52,13 @@
 	return h.moment
 }
 
-// step is an operation of the model: an order or a reading.
+// operation is one of the model: an order, a reading, or the end of all.
 type operation struct {
 	name            string
 	match, revision int64
 	read            bool
 	refused         bool
+	end             bool
 	status          int
 	core            string
 }
@@ -66,25 +67,29 @@
 type register struct {
 	revision int64
 	name     string
+	ended    bool
 }
 
 // model is a register with a revision. An order is in force only if the one
 // that it builds on was. An order with no clear answer is an operation that
-// ends never: placed behind all others it had no effect. A refusal is an
-// operation without effect, and right only where another revision was current.
+// never returns: it takes effect at any time, or comes behind the end and has
+// none. A refusal is an operation without effect, and right only where another
+// revision was current.
 var model = porcupine.Model{
 	Init: func() any { return register{} },
 	Step: func(state, input, _ any) (bool, any) {
 		now, o := state.(register), input.(operation)
 		switch {
+		case o.end:
+			return true, register{now.revision, now.name, true}
+		case now.ended:
+			return o.status == 0, now
 		case o.read:
 			return now.name == o.name, now
 		case o.refused:
 			return now.revision != o.match, now
-		case now.revision == o.match:
-			return true, register{o.revision, o.name}
 		}
-		return o.status == 0, now
+		return now.revision == o.match, register{o.revision, o.name, false}
 	},
 	DescribeOperation: func(input, _ any) string { return fmt.Sprintf("%+v", input) },
 }
@@ -113,6 +118,8 @@
 	for _, r := range h.readings {
 		add(operation{name: r.name, read: true, core: r.core}, r.from, r.to)
 	}
+	h.moment++
+	add(operation{end: true}, h.moment, math.MaxInt64)
 	// The history is bounded and what is under way at once is little; a minute
 	// is far more than it takes.
 	switch porcupine.CheckOperationsTimeout(model, ops, time.Minute) {
--- a/internal/cluster/search_plant_test.go
+++ b/internal/cluster/search_plant_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -20,28 +21,45 @@
 
 // planted plays the seeds of a build with a fault that is put in from outside.
 // The search must find it: the same schedules, the same checks.
-func planted(t *testing.T, fault func() plant) {
+func planted(t *testing.T, classes string, likely []int, fault func() plant) {
 	t.Helper()
 	t.Parallel()
-	began := time.Now()
+	began, others := time.Now(), 0
+	seeds := likely // those that found it before come first, to save time
+	if *searchAll {
+		seeds = nil
+	}
 	for n := range *searchCount {
-		seed := *searchFirst + n
+		if seed := *searchFirst + n; !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	var found []int
+	for _, seed := range seeds {
 		f := play(t, draw(seed), fault())
 		if f == nil {
 			continue
 		}
-		// What fails without the fault too is not how the fault was found.
-		if g := play(t, draw(seed), plant{}); g == nil {
-			t.Logf("found with seed %d, schedule %d, after %v: %s: %.300s", seed, n+1, time.Since(began).Round(time.Millisecond), f.class, f.text)
+		// What shows in another way, or without the fault too, is not how the
+		// fault is to be found.
+		if !strings.Contains(classes, f.class) || play(t, draw(seed), plant{}) != nil {
+			others++
+			continue
+		}
+		if found = append(found, seed); !*searchAll {
+			t.Logf("found with seed %d after %v, %d seeds before failed otherwise: %.300v", seed, time.Since(began).Round(time.Millisecond), others, f)
 			return
 		}
 	}
-	t.Errorf("%d schedules in %v did not find the fault", *searchCount, time.Since(began))
+	if len(found) == 0 {
+		t.Errorf("%d schedules in %v did not find the fault; %d failed otherwise", *searchCount, time.Since(began), others)
+	}
+	t.Logf("%d of %d schedules found the fault: %v; %d failed otherwise", len(found), len(seeds), found, others)
 }
 
 // What was written in the last moments before a loss of power is not there.
 func TestSearchFindsASkippedSync(t *testing.T) {
-	planted(t, func() plant {
+	planted(t, "view, history, news", []int{2}, func() plant {
 		type image struct {
 			at  time.Time
 			raw []byte
@@ -75,24 +93,26 @@
 // The tail answers a read although it cannot reach a majority: whoever is out of
 // reach is taken to agree.
 func TestSearchFindsAReadWithoutAMajority(t *testing.T) {
-	planted(t, func() plant {
-		return plant{request: func(s *search, from, to, path string, body []byte) (out, answer []byte) {
-			var q chain.Query
-			if path != "/chain/standing" || json.Unmarshal(body, &q) != nil || len(q.View.Members) == 0 {
-				return nil, nil
-			}
-			if !strings.HasPrefix(q.View.Members[len(q.View.Members)-1].Address, from+":") {
-				return nil, nil
-			}
-			answer, _ = json.Marshal(chain.Standing{View: q.View, Whole: true, Ready: true})
-			return nil, answer
-		}}
-	})
+	planted(t, "history", []int{77, 16, 90}, majorityPlant)
+}
+
+func majorityPlant() plant {
+	return plant{opens: true, request: func(s *search, from, to, path string, body []byte) (out, answer []byte) {
+		var q chain.Query
+		if path != "/chain/standing" || json.Unmarshal(body, &q) != nil || len(q.View.Members) == 0 {
+			return nil, nil
+		}
+		if !strings.HasPrefix(q.View.Members[len(q.View.Members)-1].Address, from+":") || s.w.net.clear(from, to) {
+			return nil, nil
+		}
+		answer, _ = json.Marshal(chain.Standing{View: q.View, Whole: true, Ready: true})
+		return nil, answer
+	}}
 }
 
 // An old whole state is taken as if it were the newest pass.
 func TestSearchFindsAnIgnoredOrderOfPasses(t *testing.T) {
-	planted(t, func() plant {
+	planted(t, "history", nil, func() plant {
 		var mu sync.Mutex
 		old := map[string]any{} // the first whole state by receiver
 		signs := 0
@@ -124,7 +144,7 @@
 
 // A view is adopted in which two voters are others than before.
 func TestSearchFindsTwoVotersChangedAtOnce(t *testing.T) {
-	planted(t, func() plant {
+	planted(t, "voters", nil, func() plant {
 		done := false
 		return plant{tick: func(s *search) {
 			if done || time.Since(s.began) < 6*time.Second {
@@ -148,34 +168,36 @@
 
 // A voter that starts again knows nothing of how it voted.
 func TestSearchFindsAForgottenPromise(t *testing.T) {
-	planted(t, func() plant {
-		return plant{restart: func(s *search, m *machine) {
-			db, err := bbolt.Open(filepath.Join(m.data, "core.db"), 0o600, &bbolt.Options{Timeout: time.Second})
-			if err != nil {
-				return // a wiped one
+	planted(t, "view", []int{58, 35}, promisePlant)
+}
+
+func promisePlant() plant {
+	return plant{restart: func(s *search, m *machine) {
+		db, err := bbolt.Open(filepath.Join(m.data, "core.db"), 0o600, &bbolt.Options{Timeout: time.Second})
+		if err != nil {
+			return // a wiped one
+		}
+		defer db.Close()
+		err = db.Update(func(tx *bbolt.Tx) error {
+			if tx.Bucket([]byte("votes")) == nil {
+				return nil
 			}
-			defer db.Close()
-			err = db.Update(func(tx *bbolt.Tx) error {
-				if tx.Bucket([]byte("votes")) == nil {
-					return nil
-				}
-				if err := tx.DeleteBucket([]byte("votes")); err != nil {
-					return err
-				}
-				_, err := tx.CreateBucket([]byte("votes"))
+			if err := tx.DeleteBucket([]byte("votes")); err != nil {
 				return err
-			})
-			if err != nil {
-				s.fail("start", "%v", err)
 			}
-		}}
-	})
+			_, err := tx.CreateBucket([]byte("votes"))
+			return err
+		})
+		if err != nil {
+			s.fail("start", "%v", err)
+		}
+	}}
 }
 
 // A leaving is counted as kept by cores that have not heard of it: for its first
 // second it reaches no other core, and each says that it has it.
 func TestSearchFindsALeavingCountedWithoutAFence(t *testing.T) {
-	planted(t, func() plant {
+	planted(t, "instance", []int{46, 55, 43}, func() plant {
 		var mu sync.Mutex
 		first := map[string]time.Time{}
 		return plant{request: func(s *search, from, to, path string, body []byte) (out, answer []byte) {
--- a/internal/cluster/search_test.go
+++ b/internal/cluster/search_test.go
@@ -28,9 +28,10 @@
 var (
 	searchSeed  = flag.Int("search.seed", envInt("SALTREEL_SEARCH_SEED", 0), "play only the schedule of this seed")
 	searchFirst = flag.Int("search.first", 1, "the first seed")
-	searchCount = flag.Int("search.count", 60, "how many schedules are played")
+	searchCount = flag.Int("search.count", 100, "how many schedules are played")
 	searchFor   = flag.Duration("search.for", 0, "play schedules for so long")
 	searchAgain = flag.Int("search.again", 5, "how often one seed, or a schedule that is shrunk, is played")
+	searchAll   = flag.Bool("search.all", false, "play all seeds with each planted fault, and list those that find it")
 	shrinkFor   = flag.Duration("search.shrink", 20*time.Second, "how long a schedule that fails is shrunk")
 )
 
--- a/internal/cluster/search_world_test.go
+++ b/internal/cluster/search_world_test.go
@@ -5,8 +5,10 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log"
 	"math/rand/v2"
 	"os"
@@ -44,6 +46,7 @@
 
 // plant is a fault put in from outside, to see whether the search finds it.
 type plant struct {
+	opens   bool                                                                     // connections open past cuts, for request to answer on them
 	request func(s *search, from, to, path string, body []byte) (out, answer []byte) // nil, nil: as it is
 	restart func(s *search, m *machine)                                              // before a core starts again
 	power   func(s *search, m *machine)                                              // after a core lost power
@@ -72,6 +75,7 @@
 
 	mu        sync.Mutex
 	found     *finding
+	ended     bool
 	running   map[string]bool // by name
 	armed     []*trap
 	believed  int64 // the newest revision that anybody was told of
@@ -130,7 +134,7 @@
 		}
 		s.hist.byBytes = map[string]*order{}
 		s.w.net.rng = rand.New(rand.NewPCG(uint64(plan.Cores), uint64(len(plan.Steps))))
-		s.w.net.request = s.request
+		s.w.net.request, s.w.net.opens = s.request, p.opens
 		s.lost, s.eye = &process{net: s.w.net, ip: outside}, &process{net: s.w.net, ip: "10.9.0.2", free: true}
 		s.pool, s.eyes = &wire.Pool{Network: s.lost.network()}, &wire.Pool{Network: s.eye.network()}
 		watching, stop := context.WithCancel(context.Background())
@@ -233,6 +237,9 @@
 		return
 	}
 	s.sleep(syncTime / 2)
+	if s.plan.Busy {
+		s.bustle()
+	}
 	for _, x := range s.plan.Steps {
 		s.sleep(time.Duration(x.Wait) * time.Millisecond)
 		if s.over() {
@@ -243,8 +250,39 @@
 	s.finish()
 }
 
+// bustle has an operator change something all the time, and each core be read.
+func (s *search) bustle() {
+	all := func(f func(n int)) {
+		s.ops.Go(func() {
+			for n := 0; !s.over() && !s.quiet(); n++ {
+				f(n)
+				time.Sleep(contact / 8)
+			}
+		})
+	}
+	all(func(n int) { s.send(s.next(0, 0), n, 3, time.Second) })
+	for place := range s.plan.Cores {
+		all(func(int) {
+			s.mu.Lock()
+			m := s.cores[place%len(s.cores)]
+			s.mu.Unlock()
+			s.read(m)
+		})
+	}
+}
+
+// quiet tells whether the schedule is over.
+func (s *search) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 // finish heals everything and looks whether all is as it must be.
 func (s *search) finish() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
 	if !s.heal() {
 		return
 	}
@@ -526,7 +564,7 @@
 		s.say("%s is killed", m.name)
 		s.w.lives++
 		copied := filepath.Join(s.w.dir, fmt.Sprintf("%s-%d", m.name, s.w.lives))
-		if err := os.CopyFS(copied, os.DirFS(m.data)); err != nil {
+		if err := os.CopyFS(copied, os.DirFS(m.data)); err != nil && !errors.Is(err, fs.ErrNotExist) { // it had none yet
 			s.fail("start", "copy the disk of %s: %v", m.name, err)
 		}
 		m.data = copied
@@ -543,8 +581,9 @@
 		if power && s.plant.power != nil {
 			s.plant.power(s, m)
 		}
-		// They come back one after the other, in an order that the time says.
-		later := (i + ms/100) % len(killed) * (ms % 700)
+		// They come back together, or one after the other, in an order that the
+		// time says.
+		later := (i + ms/200) % len(killed) * (ms / 100 % 2) * 1500
 		s.during(ms+later, func() {}, func() { s.start(m) })
 	}
 }
@@ -628,9 +667,8 @@
 	a, b := s.cores[x.A], s.cores[x.B]
 	switch x.Kind {
 	case stepOrder, stepRead, stepAgain, stepBurst, stepBeat, stepDrain, stepDelete, stepLate:
-	case stepWhen:
-		m, strike, nth := x.when()
-		s.say("when %s (number %d) is sent: %s", messages[m].name, nth, strikes[strike])
+	case stepWhen, stepElect:
+		s.say("when %v", x.On)
 	default:
 		s.say("%s %s %s for %d ms, %d", x.Kind, a.name, b.name, x.For, x.N)
 	}
@@ -706,19 +744,32 @@
 				s.w.net.vary(0)
 			}
 		})
-	case stepWhen:
-		_, _, nth := x.when()
+	case stepWhen, stepElect:
+		if x.Kind == stepElect && x.N > 1 && !s.heal() {
+			return
+		}
 		s.mu.Lock()
-		s.armed = append(s.armed, &trap{x, nth})
+		s.armed = append(s.armed, &trap{x, x.On.Number})
 		s.mu.Unlock()
+		switch {
+		case x.Kind == stepWhen:
+			return
+		case x.N%2 == 0:
+			s.down(x.For, false, a)
+		default:
+			s.isolate(x.For, a.ip, x.N/2)
+		}
+		s.sleep(contact / 2) // until the view has changed
 	case stepWipe:
 		if s.heal() {
+			s.last(x)
 			s.kill(a)
 			s.wipe(a)
 			s.during(x.For, func() {}, func() { s.start(a) })
 		}
 	case stepReplace:
 		if s.heal() {
+			s.last(x)
 			s.kill(a)
 			s.mu.Lock()
 			s.cores = slices.Delete(slices.Clone(s.cores), x.A, x.A+1)
@@ -731,12 +782,47 @@
 		}
 	case stepPowerWipe:
 		if s.heal() {
+			s.last(x)
 			s.down(x.For, true, s.cores...)
 			s.wipe(a)
 		}
 	}
 }
 
+// last has something acknowledged, or only sent, right before a disk is lost.
+func (s *search) last(x step) {
+	say := x
+	say.B = 0
+	for _, w := range []struct {
+		bit  int
+		kind kind
+	}{{1, stepBeat}, {1, stepDrain}, {2, stepOrder}} {
+		if x.N&w.bit == 0 {
+			continue
+		}
+		say.Kind = w.kind
+		var done <-chan struct{}
+		if w.kind == stepOrder {
+			o, sent := s.next(0, 0), make(chan struct{})
+			s.ops.Go(func() { s.send(o, x.A, 1, time.Second); close(sent) })
+			done = sent
+		} else {
+			done = s.beat(say)
+		}
+		for end := time.Now().Add(contact / 16); time.Now().Before(end); {
+			s.sleep(time.Millisecond)
+			if x.N&4 != 0 && w.kind != stepBeat {
+				break // it is not waited for
+			}
+			select {
+			case <-done:
+				end = time.Time{}
+			default:
+			}
+		}
+	}
+}
+
 // request sees each request between processes before it is sent.
 func (s *search) request(from *process, to string, raw []byte) (out, answer []byte) {
 	head, body, ok := bytes.Cut(raw, []byte("\r\n\r\n"))
@@ -750,13 +836,19 @@
 		return raw, nil
 	}
 	changed, answer := s.plant.request(s, from.ip, ip, words[1], body)
+	lines := strings.Split(string(head), "\r\n")
 	if answer != nil {
-		return nil, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		call := "" // an answer repeats the name of its call
+		for _, l := range lines {
+			if strings.HasPrefix(l, "Call:") {
+				call = l + "\r\n"
+			}
+		}
+		return nil, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", call, len(answer), answer)
 	}
 	if changed == nil {
 		return raw, nil
 	}
-	lines := strings.Split(string(head), "\r\n")
 	for i, l := range lines {
 		if strings.HasPrefix(l, "Content-Length:") {
 			lines[i] = "Content-Length: " + strconv.Itoa(len(changed))
@@ -770,8 +862,7 @@
 	s.mu.Lock()
 	var due []step
 	s.armed = slices.DeleteFunc(s.armed, func(t *trap) bool {
-		n, _, _ := t.when()
-		if m := messages[n]; m.path != path || !bytes.Contains(body, []byte(m.words)) {
+		if m := messages[t.On.Message]; m.path != path || !bytes.Contains(body, []byte(m.words)) {
 			return false
 		}
 		t.left--
@@ -782,8 +873,7 @@
 	})
 	s.mu.Unlock()
 	for _, x := range due {
-		_, strike, _ := x.when()
-		what := strikes[strike]
+		what := strikes[x.On.Strike].name
 		for _, l := range s.struck(what, from, to, x.A) {
 			// These strike before the message is sent.
 			if l.hold {
@@ -799,7 +889,7 @@
 				}
 			})
 		}
-		s.later(2*x.B, func() { s.strike(what, x.For, from, to) })
+		s.later(x.On.Lag, func() { s.strike(what, x.For, from, to) })
 	}
 }
 
@@ -1040,8 +1130,9 @@
 	return v, s.eyes.Post(ctx, internal(m), "/view", struct{}{}, nil, &v)
 }
 
-// beat has a handler say something.
-func (s *search) beat(x step) {
+// beat has a handler say something; the channel is closed when it was answered.
+func (s *search) beat(x step) <-chan struct{} {
+	done := make(chan struct{})
 	n := x.N % 3
 	s.mu.Lock()
 	h := s.instances[n]
@@ -1067,6 +1158,7 @@
 	late := x.Kind == stepLate
 	s.mu.Unlock()
 	s.ops.Go(func() {
+		defer close(done)
 		for try := range 1 + x.B {
 			s.mu.Lock()
 			m := s.cores[(x.A+try)%len(s.cores)]
@@ -1102,6 +1194,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	})
+	return done
 }
 
 // watch asks all cores for their view and their news, past all cuts: as a node
