--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -39,7 +39,8 @@
 	tasks   sync.WaitGroup
 	version int
 	seq     int
-	losses  int      // host-failures
+	losses  int // host-failures
+	mu      sync.Mutex
 	seeds   []string // addresses of cores
 }
 
@@ -221,7 +222,16 @@
 	}
 }
 
+// seed names another core in place of one that is gone.
+func (w *world) seed(at int, ip string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seeds[at] = ip
+}
+
 func (w *world) controls() (out []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, ip := range w.seeds {
 		out = append(out, ip+":82")
 	}
