--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,7 +107,7 @@
 // open opens the state on disk. While the disk refuses, this core waits and
 // takes no part; it tells whether it is open before ctx ends.
 func (c *Core) open(ctx context.Context) bool {
-	for told := false; ctx.Err() == nil; sleep(ctx, c.contact/40) {
+	for told := false; ctx.Err() == nil; relay.Pause(ctx, c.contact/40) {
 		err := c.state.Open()
 		if err == nil {
 			if told {
@@ -393,7 +393,7 @@
 	defer c.mu.Unlock()
 	if c.spreading = append(c.spreading, it); len(c.spreading) == 1 {
 		c.tasks.Go(func() {
-			sleep(c.life, c.contact/400)
+			relay.Pause(c.life, c.contact/400)
 			c.spreadAll()
 		})
 	}
@@ -434,12 +434,3 @@
 		return operate(ctx, r)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/core/electorate.go
+++ b/internal/core/electorate.go
@@ -9,6 +9,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/chain"
+	"saltreel/internal/relay"
 	"saltreel/internal/wire"
 )
 
@@ -54,11 +55,11 @@
 		c.mu.Unlock()
 		served = served || steady
 		if c.isReady() && !(behind && steady) {
-			sleep(ctx, c.contact/40)
+			relay.Pause(ctx, c.contact/40)
 			continue
 		}
 		if c.learnOnce(ctx, !loaded || behind) != nil {
-			sleep(ctx, c.contact/80)
+			relay.Pause(ctx, c.contact/80)
 			continue
 		}
 		if steady {
@@ -210,7 +211,7 @@
 		if err == nil {
 			return nil
 		}
-		sleep(ctx, c.contact/80) // the voters may be changing just now
+		relay.Pause(ctx, c.contact/80) // the voters may be changing just now
 		if ctx.Err() != nil {
 			return &wire.Status{Code: 503, Text: fmt.Sprintf("too few cores keep the news: %v", err)}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,15 +166,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // beat sends heartbeats to the watchers on the ring of cores.
 func (n *Node) beat(ctx context.Context) {
 	every := n.Settings.Contact() / 4
@@ -207,7 +198,7 @@
 				if err == nil {
 					heard.Store(true)
 				} else if n.Self.Role == "store" && !heard.Load() && wire.Refused(err) {
-					pause(ctx, n.Settings.Contact()/80) // it starts just now, as this node does
+					relay.Pause(ctx, n.Settings.Contact()/80) // it starts just now, as this node does
 					n.beatSoon()
 				}
 			})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,7 +118,7 @@
 			return wire.Problem(503, "this node hears no news itself")
 		}
 		if first && in.Source == "" && in.Role == "edge" && s.Young != nil && s.Young() {
-			pause(ctx, s.Linger)
+			Pause(ctx, s.Linger)
 		}
 		changed, urgent := s.Journal.Changes()
 		page, prompt := s.Journal.Since(in.Source, in.Number, in.Digest, in.wants)
@@ -303,7 +303,7 @@
 			f.lost = true
 			f.mu.Unlock()
 			clear(bad)
-			pause(ctx, f.Contact/80+rand.N(f.Contact/80))
+			Pause(ctx, f.Contact/80+rand.N(f.Contact/80))
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, wait+f.Contact/8)
@@ -349,7 +349,8 @@
 	return "", false
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for a while, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
