A core that is the only voter needs nobody to tell it what is kept

Cause: learning counted the answers of others only; with one core there are none, and it took no beats.

Test: TestACoreAloneServes, in two lives; fails on the code before.

--- a/internal/cluster/control_test.go
+++ b/internal/cluster/control_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"saltreel/internal/wire"
@@ -474,3 +475,28 @@
 		})
 	}
 }
+
+// One core alone is a system too, where nothing need be borne.
+func TestACoreAloneServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, net: newNetwork(), nodes: map[string]*machine{}, dir: t.TempDir(), seeds: []string{"10.1.0.1"}}
+		w.outside = &process{net: w.net, ip: "10.9.0.1"}
+		w.pool = &wire.Pool{Network: w.outside.network()}
+		w.add("core-z1", "core", "z1", "10.1.0.1", true)
+		defer func() {
+			w.nodes["core-z1"].stop()
+			w.tasks.Wait()
+		}()
+		for _, life := range []string{"first", "second"} {
+			want := w.change("in the "+life+" life", options{})
+			w.readBack("in the "+life+" life", want)
+			w.until(5*time.Second, "a beat is taken in the "+life+" life", func() bool {
+				a, err := w.do("10.1.0.1:82", &wire.Call{Method: "PUT", Target: "/v1/instances/x1", Host: "10.1.0.1:82", Body: fmt.Appendf(nil,
+					`{"service":"plain","address":"10.20.1.1:90","zone":"z1","slots":2,"oper-state":"ready","call-seq":%d}`, time.Now().UnixMilli())}, time.Second)
+				return err == nil && a.Status == 200
+			})
+			w.kill("core-z1")
+			w.start("core-z1", false)
+		}
+	})
+}
--- a/internal/core/electorate.go
+++ b/internal/core/electorate.go
@@ -104,6 +104,9 @@
 		})
 	}
 	answers := map[chain.Member]*Exchanged{}
+	if c.majority(answers) > 0 { // the only voter
+		return nil
+	}
 	for range peers {
 		t := <-got
 		if t.out == nil || t.out.View == nil {
