Wire: of the calls that are most of all, the caller's end is not looked at

Each look at the caller's end is a call of the system; /copy is most of all calls, and a late one does nothing, nor does a late /grant or /news.

--- a/internal/wire/calls.go
+++ b/internal/wire/calls.go
@@ -43,6 +43,11 @@
 	"/view":           true,
 }
 
+// frequent are the calls of which there are most. Whether their caller is still
+// there is not looked at: each look is a call of the system, and a late one of
+// these does nothing (docs/calls.md).
+var frequent = map[string]bool{"/copy": true, "/grant": true, "/news": true}
+
 // name makes the name of a call. Of 48 random bits, no two on one connection
 // and no two of which one may come late, over all lives, are alike.
 func name(ctx context.Context) string {
@@ -63,7 +68,7 @@
 // caller's wait.
 func (m Mux) Handle(ctx context.Context, r *Request) *Response {
 	call := r.Header.Get(headerCall)
-	if r.Conn != nil && r.Conn.left() {
+	if r.Conn != nil && !frequent[r.URL.Path] && r.Conn.left() {
 		return nil // nobody reads an answer
 	}
 	if _, ms, ok := strings.Cut(call, " "); ok {
