What a duty's round or a grant leaves to be done ends with its process

Cause: one run of six of the cluster tests ended in a panic, with a goroutine of a duty's lost round left: the calls that give grants back had a context of their own for half a lease, so they outlived their core, and in a test its bubble. Questions for grants did the same for contact-ms/16.

Change: they end with the core, which waits for them, and with the edge.

--- a/internal/ballot/ballot.go
+++ b/internal/ballot/ballot.go
@@ -218,6 +218,8 @@
 	Voters     []string
 	Lease      time.Duration
 	Call       func(ctx context.Context, voter string, c DutyCall) (DutyReply, error)
+	// Go runs what a round leaves to be done; nil: in a goroutine of its own.
+	Go func(f func())
 
 	mu    sync.Mutex
 	term  int64
@@ -251,10 +253,10 @@
 		term = d.seen + 1
 		d.mu.Unlock()
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.Lease/2)
+	rctx, cancel := context.WithTimeout(ctx, d.Lease/2)
 	defer cancel()
 	granted := 0
-	replies := ask(ctx, d.Voters, DutyCall{d.Name, d.Self, term, d.Lease.Milliseconds()}, func(r DutyReply) bool { return r.Granted }, d.Call)
+	replies := ask(rctx, d.Voters, DutyCall{d.Name, d.Self, term, d.Lease.Milliseconds()}, func(r DutyReply) bool { return r.Granted }, d.Call)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range replies {
@@ -268,12 +270,16 @@
 		d.term, d.until = term, began.Add(d.Lease*9/10)
 	} else if !held && granted > 0 {
 		// Lost: those that granted it may grant it to another at once.
+		run := d.Go
+		if run == nil {
+			run = func(f func()) { go f() }
+		}
 		for _, voter := range d.Voters {
-			go func() {
-				ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.Lease/2)
+			run(func() {
+				ctx, cancel := context.WithTimeout(ctx, d.Lease/2)
 				defer cancel()
 				_, _ = d.Call(ctx, voter, DutyCall{d.Name, d.Self, term, 0})
-			}()
+			})
 		}
 	}
 }
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -89,7 +89,7 @@
 	life      int64                // of this process, at random
 }
 
-// through is a pass that this member answered, and when.
+// through is a pass that this member answered, and when it took it.
 type through struct {
 	stamp Stamp
 	at    time.Time
@@ -177,7 +177,9 @@
 // about now: it may have lain in a buffer while this process was frozen or a
 // link was cut. But the head sends it only after it has heard what became of
 // those before, so the last one that came back shows that this member was in
-// touch when it answered that one. The lock is held.
+// touch when it took that one: from then until its answer was on the way, all
+// before it held their place in this view, and all behind it had not left it.
+// The lock is held.
 func (c *Chain) passed(p Pass, began time.Time) {
 	c.active, c.gone, c.heard, c.stamp = true, false, time.Now(), p.Stamp
 	if p.View.at(c.Self) == 0 {
@@ -191,7 +193,7 @@
 		}
 	}
 	copy(c.answers[1:], c.answers[:])
-	c.answers[0] = through{p.Stamp, time.Now()}
+	c.answers[0] = through{p.Stamp, began}
 }
 
 // pass is the next pass of this head, a sign of life as it stands. The right to
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,7 +100,7 @@
 	}
 	c.state = &statefile.File{Path: filepath.Join(set.DataPath, "core.db"), BatchDelay: batchDelay, Prepare: c.prepareState, Load: c.loadState, Warn: logger.Printf}
 	c.chain.Open(c.state)
-	c.duty = &ballot.Duty{Name: "steward", Self: c.self, Lease: c.contact / 4, Call: c.callDuty}
+	c.duty = &ballot.Duty{Name: "steward", Self: c.self, Lease: c.contact / 4, Call: c.callDuty, Go: c.tasks.Go}
 	return c, nil
 }
 
--- a/internal/edge/grants.go
+++ b/internal/edge/grants.go
@@ -20,6 +20,7 @@
 
 	mu      sync.Mutex
 	tenants map[string]*grant
+	life    context.Context // of run: no question outlives it
 }
 
 type grant struct {
@@ -131,6 +132,9 @@
 
 // run asks ahead, round by round.
 func (g *grants) run(ctx context.Context) {
+	g.mu.Lock()
+	g.life = ctx
+	g.mu.Unlock()
 	tick := time.NewTicker(g.round())
 	defer tick.Stop()
 	for {
@@ -180,6 +184,9 @@
 	byStore := map[string]store.Grant{}
 	p := g.node.Placement()
 	g.mu.Lock()
+	if g.life != nil {
+		defer context.AfterFunc(g.life, cancel)()
+	}
 	for _, name := range names {
 		x := g.tenants[name]
 		if x == nil {
