delivery: an attempt keeps its instance, only the first of an order key starts

Cause: an attempt read address and id of its endpoint while an event could replace them (a data race; a torn string can end the store). A message of an order key that waits, and an earlier one of that key that a new primary learns of later, could be in flight at once or in the wrong order. Change: the attempt gets a copy of the instance, taken under the lock; a message that is not the first of its key leaves the queue until its turn comes. Result: both new tests fail on (DATA RACE; attempts [later earlier]) and pass.

--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -10,9 +10,10 @@
 	"saltreel/internal/partition"
 )
 
-// attempt makes one delivery and draws the consequences.
-func (s *Scheduler) attempt(ctx context.Context, m *message, e *endpoint, route *configuration.Route) {
-	result := s.deliver(ctx, m, e, route)
+// attempt makes one delivery and draws the consequences. The instance is that of
+// the endpoint as it was at the start: an event may replace it meanwhile.
+func (s *Scheduler) attempt(ctx context.Context, m *message, e *endpoint, instance handler.Instance, route *configuration.Route) {
+	result := s.deliver(ctx, m, instance, route)
 	dead := isDead(result.Outcome, m.failedAttempts, int(route.MaxAttempts))
 	switch {
 	case dead:
@@ -46,12 +47,12 @@
 
 // deliver hands a message to an endpoint. A delivery in flight ends in its own
 // time, even when the process stops.
-func (s *Scheduler) deliver(ctx context.Context, m *message, e *endpoint, route *configuration.Route) handler.Result {
+func (s *Scheduler) deliver(ctx context.Context, m *message, instance handler.Instance, route *configuration.Route) handler.Result {
 	r := m.record
 	began := time.Now()
 	result := handler.Deliver(context.WithoutCancel(ctx), s.config.Pool, handler.Delivery{
-		Address:  e.Address,
-		Instance: e.ID,
+		Address:  instance.Address,
+		Instance: instance.ID,
 		ID:       r.ID,
 		Tenant:   r.Tenant,
 		OrderKey: r.OrderKey,
@@ -65,7 +66,7 @@
 	switch result.Outcome {
 	case handler.Done, handler.Refused, handler.Failed: // the handler's word
 	default:
-		s.config.Log.Printf("delivery: %s to %s: %v %d after %v: %v", r.ID, e.Address, result.Outcome, result.Status, time.Since(began).Round(time.Millisecond), result.Err)
+		s.config.Log.Printf("delivery: %s to %s: %v %d after %v: %v", r.ID, instance.Address, result.Outcome, result.Status, time.Since(began).Round(time.Millisecond), result.Err)
 	}
 	return result
 }
--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -59,6 +59,10 @@
 	if m.ended {
 		return true
 	}
+	if !m.isFirstOfKey() { // an earlier message of its key came later: it waits for that one
+		m.queued = false
+		return true
+	}
 	if r.table.Revision < m.record.Revision || !s.beginDelivery(m) {
 		r.retryIn(m, s.timing.leaseRecheck())
 		return true
@@ -115,7 +119,8 @@
 	m.lastEndpoint = e.ID
 	m.tries++
 	e.inFlight++
-	s.attempts.Go(func() { s.attempt(ctx, m, e, route) })
+	instance := e.Instance
+	s.attempts.Go(func() { s.attempt(ctx, m, e, instance, route) })
 	return true
 }
 
--- a/internal/delivery/message.go
+++ b/internal/delivery/message.go
@@ -34,6 +34,9 @@
 	m.overdueAt = m.eligibleSince.Add(settings.Seconds(route.RetentionS / 2))
 }
 
+// isFirstOfKey reports whether no message of its order key is to run before it.
+func (m *message) isFirstOfKey() bool { return m.key == nil || m.key.messages[0] == m }
+
 // expired reports whether the retention of the message is over; now is the wall
 // clock in milliseconds.
 func (m *message) expired(now int64) bool { return m.record.Expires > 0 && m.record.Expires < now }
--- a/internal/delivery/scheduler_test.go
+++ b/internal/delivery/scheduler_test.go
@@ -7,6 +7,7 @@
 	"log"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,3 +259,65 @@
 		}
 	}
 }
+
+// A new primary may learn of a message of an order key after a later one of that
+// key waits already: only the earlier one may run then.
+func TestEarlierMessageOfAnOrderKeyThatComesLaterRunsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newFakePartitions(partition.Event{BecamePrimary: true, Records: []*partition.Record{record("later", "k", 2)}})
+		p.setFrozen(true)
+		h := &fakeHandler{work: 100 * time.Millisecond}
+		s := schedulerOf(t, p, h)
+		time.AfterFunc(time.Second, func() {
+			p.mu.Lock()
+			p.events = append(p.events, partition.Event{Records: []*partition.Record{record("earlier", "k", 1)}})
+			p.frozen = false
+			p.mu.Unlock()
+			p.more <- struct{}{}
+		})
+		runScheduler(t, s, time.Minute)
+		if h.most != 1 || !slices.Equal(h.attempts, []string{"earlier", "later"}) {
+			t.Errorf("attempts %v, %d at once", h.attempts, h.most)
+		}
+		if s.Pending() != 0 {
+			t.Errorf("%d are pending", s.Pending())
+		}
+	})
+}
+
+// An event may replace an instance while deliveries to it are under way; the race
+// detector watches.
+func TestInstanceIsReplacedWhileDeliveriesAreUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var records []*partition.Record
+		for i := range 50 {
+			records = append(records, record(fmt.Sprint("m", i), "", int64(i)))
+		}
+		p := newFakePartitions(partition.Event{BecamePrimary: true, Records: records})
+		h := &fakeHandler{work: 20 * time.Millisecond}
+		s := schedulerOf(t, p, h)
+		table := configuration.NewTable(&configuration.Configuration{
+			Revision:     1,
+			RouteTable:   []*configuration.Route{{Name: "r", HostMatch: "h0.example", PathPrefix: "/", Service: "s", TimeoutMs: 500, MaxAttempts: 3, StartTargetMs: 600, RetentionS: 1e6}},
+			ServiceTable: []*configuration.Service{{Name: "s", MaxConnections: 8}},
+		})
+		s.config.Table = func() *configuration.Table { return table }
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		tasks.Go(func() { s.Run(ctx) })
+		for i := range 100 {
+			in := handler.Instance{ID: "i", Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i%3), Slots: 2, State: handler.Ready}
+			s.ApplyEvent(journal.Event{Key: distribution.PrefixInstance + "i", Version: journal.Version{Major: int64(i + 1)}, Value: journal.Encode(in)})
+			time.Sleep(7 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		tasks.Wait()
+		for i := range 3 {
+			s.config.Pool.Forget(fmt.Sprintf("10.0.0.%d:80", i))
+		}
+		if len(p.outcomes()) != len(records) {
+			t.Errorf("%d of %d messages have ended", len(p.outcomes()), len(records))
+		}
+	})
+}
