client: NaN is no number of milliseconds

Cause: NaN passed both comparisons, so a message with Saltreel-Delay-Ms: NaN was accepted with 202 and never due. Change: 400, as for any other text that is no number. Test: TestParseMilliseconds, fails before.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -92,7 +92,7 @@
 		return 0, true
 	}
 	ms, err := strconv.ParseFloat(value, 64)
-	if err != nil || ms < 0 || ms > maxMilliseconds {
+	if err != nil || !(ms >= 0 && ms <= maxMilliseconds) { // NaN is none of both
 		return 0, false
 	}
 	return time.Duration(ms * float64(time.Millisecond)), true
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -60,6 +60,8 @@
 		{"1.1e10", 0, false},
 		{"-1", 0, false},
 		{"soon", 0, false},
+		{"NaN", 0, false}, // such a message would never be due
+		{"Inf", 0, false},
 	} {
 		if d, ok := parseMilliseconds(c.value); d != c.d || ok != c.ok {
 			t.Errorf("%q: %v %v", c.value, d, ok)
