partition: one mechanism for failed writes, leases given back do not count

Causes, each brought about by a test that fails before: - after a failed commit the writer wrote the same file again; boltstore.File says why that is wrong. The store now uses it: the file is written anew first. - a batch that gave the lease back renewed it when the handover was called off before its response came, or left it as it was when the response was lost. - a handover did not wait for the records that a backup in sync was found to lack. - a store back with an empty disk took batches meant for the one that is gone: batches name the disk now (older senders name none). - Find said 404 as a primary without any backup to ask: 503 now. - an accept whose message was stored and is gone said 'not stored': unclear now.

--- a/internal/partition/accept.go
+++ b/internal/partition/accept.go
@@ -68,6 +68,8 @@
 	p := m.partitions[n]
 	stored, accept := p.records.byID[r.ID], p.unconfirmed[r.ID]
 	switch {
+	case stored == nil && mayBeStored: // it expired, or another primary may have it
+		return acceptWait{}, notAccepted(n, mayBeStored)
 	case stored == nil && p.handover.acceptsStopped:
 		return acceptWait{changed: p.changed}, nil
 	case stored != nil && stored.Tenant != r.Tenant:
--- a/internal/partition/accept_test.go
+++ b/internal/partition/accept_test.go
@@ -80,6 +80,27 @@
 	})
 }
 
+// A message that was stored and is gone has ended, or another primary has it.
+func TestAcceptOfAMessageThatWasDeletedIsUnclear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startPrimary(t, placement.Backup{Store: "other"})
+		accepted := make(chan error, 1)
+		go func() { accepted <- m.Accept(t.Context(), 0, &Record{ID: "x"}) }()
+		synctest.Wait()
+		m.mu.Lock()
+		p := m.partitions[0]
+		delete(p.unconfirmed, "x")
+		m.commitLocked(p, &Record{ID: "x", State: Deleted}, nil)
+		m.config.Backups = 2 // a new message would be declined
+		p.announceChange()
+		m.mu.Unlock()
+		var unconfirmed *UnconfirmedError
+		if err := <-accepted; !errors.As(err, &unconfirmed) {
+			t.Errorf("answered %v", err)
+		}
+	})
+}
+
 func TestAcceptIsConfirmedByThisDiskAndAllBackups(t *testing.T) {
 	accept := &pendingAccept{record: &Record{ID: "x"}}
 	for name, c := range map[string]struct {
--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -214,7 +214,8 @@
 
 // Find returns the record of a message, as its primary. One that is not here is
 // looked for at the backups, and taken from there. It returns a *NotPrimaryError,
-// ErrUnknownMessage, or the error of the last backup that did not answer.
+// ErrUnknownMessage, ErrIndeterminate where messages have backups and none could
+// be asked, or the error of the last backup that did not answer.
 func (m *Manager) Find(ctx context.Context, n int, id string) (*Record, error) {
 	r, backups, err := m.lookUp(n, id)
 	if err != nil || r != nil {
@@ -230,8 +231,11 @@
 			return r, nil
 		}
 	}
-	if lastErr != nil {
+	switch {
+	case lastErr != nil:
 		return nil, lastErr
+	case len(backups) == 0 && m.config.Backups > 0:
+		return nil, ErrIndeterminate
 	}
 	return nil, ErrUnknownMessage
 }
--- a/internal/partition/backup.go
+++ b/internal/partition/backup.go
@@ -29,7 +29,13 @@
 	onDisk := make(chan struct{})
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// The response counts for the disk that the sender's placement names.
+	otherDisk := batch.Disk != "" && batch.Disk != m.storage.identity
 	for _, part := range batch.Partitions {
+		if otherDisk {
+			response.Partitions = append(response.Partitions, PartitionResult{Partition: part.Partition, Stale: true})
+			continue
+		}
 		size := bodyBytes(part.Records)
 		if size > len(raw) {
 			return nil, nil, ErrTruncatedBatch
--- a/internal/partition/backup_test.go
+++ b/internal/partition/backup_test.go
@@ -39,10 +39,7 @@
 // has it in memory only does not answer until its disk has it, whoever asks.
 func TestBackupAnswersOnlyForWhatIsOnDisk(t *testing.T) {
 	m := startBackup(t)
-	tx, err := m.storage.db.Begin(true) // the disk stalls
-	if err != nil {
-		t.Fatal(err)
-	}
+	resumeDisk := stallDisk(m.storage)
 	handle := func(batch *BatchRequest, limit time.Duration) error {
 		ctx, cancel := context.WithTimeout(t.Context(), limit)
 		defer cancel()
@@ -56,9 +53,7 @@
 	if handle(next, 50*time.Millisecond) == nil {
 		t.Error("the next primary gets the checksum of a message that is on no disk here")
 	}
-	if err := tx.Rollback(); err != nil {
-		t.Fatal(err)
-	}
+	resumeDisk()
 	if err := handle(next, time.Minute); err != nil { // a real disk, on a busy machine
 		t.Errorf("the disk works again: %v", err)
 	}
@@ -93,3 +88,31 @@
 		t.Error("the record was stored")
 	}
 }
+
+// A store that is back with an empty disk under its old name has none of the
+// records that the placement assumes there: its responses must not count.
+func TestBackupRefusesBatchesForAnotherDisk(t *testing.T) {
+	m := startBackup(t)
+	for _, c := range []struct {
+		name, disk string
+		epoch      int64
+		stale      bool
+	}{
+		{"the disk that is gone, a newer epoch", "another", 6, true},
+		{"the disk that is gone, the same epoch", "another", 5, true},
+		{"this disk", m.DiskID(), 6, false},
+		{"a sender of an earlier version names none", "", 7, false},
+	} {
+		batch := &BatchRequest{From: "third", Disk: c.disk, Partitions: []PartitionBatch{{Epoch: c.epoch, Records: []*Record{{ID: c.name, Sequence: 1}}}}}
+		response, err := m.HandleBatch(t.Context(), batch, nil)
+		if err != nil || len(response.Partitions) != 1 || response.Partitions[0].Stale != c.stale {
+			t.Fatalf("%s: %+v %v", c.name, response, err)
+		}
+		m.mu.Lock()
+		p := m.partitions[0]
+		if stored := p.records.byID[c.name] != nil; stored == c.stale || c.stale && p.epoch != 5 {
+			t.Errorf("%s: stored %v, epoch %d", c.name, stored, p.epoch)
+		}
+		m.mu.Unlock()
+	}
+}
--- a/internal/partition/errors.go
+++ b/internal/partition/errors.go
@@ -16,6 +16,9 @@
 	ErrIDConflict = errors.New("another tenant's message has this id")
 	// ErrUnknownMessage says that no replica that answered has the message.
 	ErrUnknownMessage = errors.New("no such message")
+	// ErrIndeterminate says that this store cannot be sure that there is no such
+	// message: it lacks it, and no backup could be asked.
+	ErrIndeterminate = errors.New("no backup can say whether there is such a message")
 	// ErrUnknownPartition says that this store knows of no such partition.
 	ErrUnknownPartition = errors.New("no such partition here")
 	// ErrTruncatedBatch says that a batch has fewer bytes of bodies than its
@@ -23,6 +26,15 @@
 	ErrTruncatedBatch = errors.New("the bodies are cut short")
 )
 
+// DiskError says that the file of a store cannot be opened now. It may be tried
+// again.
+type DiskError struct{ Err error }
+
+func (e *DiskError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error of the disk.
+func (e *DiskError) Unwrap() error { return e.Err }
+
 // NotPrimaryError says that this store is not the primary of a partition. A
 // message refused with it was not stored.
 type NotPrimaryError struct{ Partition int }
@@ -65,7 +77,7 @@
 		return 409
 	case errors.Is(err, ErrDiskRefusesWrites), errors.Is(err, ErrUnknownPartition), errors.As(err, &notPrimary):
 		return 421
-	case errors.Is(err, ErrStoreFull), errors.As(err, &tooFewBackups):
+	case errors.Is(err, ErrStoreFull), errors.Is(err, ErrIndeterminate), errors.As(err, &tooFewBackups):
 		return 503
 	case errors.As(err, &unconfirmed):
 		return 504
--- a/internal/partition/errors_test.go
+++ b/internal/partition/errors_test.go
@@ -24,6 +24,8 @@
 		{ErrStoreFull, 503, "this store is full"},
 		{ErrIDConflict, 409, "another tenant's message has this id"},
 		{ErrUnknownMessage, 404, "no such message"},
+		{ErrIndeterminate, 503, "no backup can say whether there is such a message"},
+		{&DiskError{errors.New("no space")}, 0, "no space"},
 		{ErrUnknownPartition, 421, "no such partition here"},
 		{ErrTruncatedBatch, 400, "the bodies are cut short"},
 		{errTruncatedFetch, 0, "the bodies are cut short"},
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -87,10 +87,16 @@
 }
 
 // isReadyForHandover reports whether all backups that may become primary hold all
-// records and have their lease back.
+// records and have their lease back. One that is still being filled, and is not
+// known to be in sync, is waited for only with what has changed: the controller
+// does not choose it.
 func (p *partition) isReadyForHandover() bool {
 	for _, r := range p.replicas {
-		if r.mayBecomePrimary() && (len(r.unreplicated) > 0 || !r.leaseReleased) {
+		switch {
+		case !r.mayBecomePrimary():
+		case len(r.unreplicated) > 0, !r.leaseReleased:
+			return false
+		case (r.inSync || r.verified) && r.hasBacklog():
 			return false
 		}
 	}
--- a/internal/partition/handover_test.go
+++ b/internal/partition/handover_test.go
@@ -47,6 +47,25 @@
 	}
 }
 
+func TestHandoverWaitsForTheRecordsThatASuccessorLacks(t *testing.T) {
+	for name, c := range map[string]struct {
+		backup replica
+		ready  bool
+	}{
+		"has all":                           {replica{inSync: true}, true},
+		"lacks a change":                    {replica{inSync: true, unreplicated: map[string]*Record{"x": {}}}, false},
+		"lacks an older record":             {replica{inSync: true, missing: []string{"x"}}, false},
+		"lacks one, reported as in sync":    {replica{verified: true, missing: []string{"x"}}, false},
+		"is being filled, cannot be chosen": {replica{missing: []string{"x"}}, true},
+	} {
+		c.backup.connected, c.backup.leaseReleased = true, true
+		p := &partition{replicas: []*replica{&c.backup}}
+		if got := p.isReadyForHandover(); got != c.ready {
+			t.Errorf("%s: ready %v", name, got)
+		}
+	}
+}
+
 func TestRepeatedHandoverRequestExtendsTheStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := startPrimary(t)
--- a/internal/partition/helpers_test.go
+++ b/internal/partition/helpers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net"
 	"testing"
 	"time"
 
+	"go.etcd.io/bbolt"
+
 	"saltreel/internal/httpwire"
 	"saltreel/internal/placement"
 	"saltreel/internal/rpc"
@@ -75,3 +78,17 @@
 	}
 	return &set
 }
+
+// stallDisk lets no write of a storage take place until resume is called.
+func stallDisk(s *storage) (resume func()) {
+	stalled, released := make(chan struct{}), make(chan struct{})
+	go func() {
+		_ = s.file.Update(func(*bbolt.Tx) error { // rolled back
+			close(stalled)
+			<-released
+			return errors.New("nothing to write")
+		})
+	}()
+	<-stalled
+	return func() { close(released) }
+}
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -82,7 +82,8 @@
 	tasks sync.WaitGroup
 }
 
-// New opens the file of records in config.Dir. Run must be called next.
+// New opens the file of records in config.Dir. Run must be called next. A
+// *DiskError says that the disk does not work now, and that New may be tried again.
 func New(config Config) (*Manager, error) {
 	if err := config.check(); err != nil {
 		return nil, err
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -4,8 +4,9 @@
 // follow it in the order of the records.
 type BatchRequest struct {
 	From       string           `json:"from"`
-	Number     int64            `json:"no"`  // rises with each batch of one incarnation of the sender
-	Now        int64            `json:"now"` // the sender's clock, ms: machines may not agree on the time
+	Number     int64            `json:"no"`             // rises with each batch of one incarnation of the sender
+	Now        int64            `json:"now"`            // the sender's clock, ms: machines may not agree on the time
+	Disk       string           `json:"disk,omitempty"` // identity of the disk that the batch is for; empty: any
 	Partitions []PartitionBatch `json:"parts"`
 }
 
--- a/internal/partition/replicator.go
+++ b/internal/partition/replicator.go
@@ -166,7 +166,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	batch := outgoingBatch{
-		request: BatchRequest{From: m.config.Self, Now: m.Now()},
+		request: BatchRequest{From: m.config.Self, Now: m.Now(), Disk: m.placement.Stores[peer].Disk},
 		bodies:  []byte{},
 		address: m.placement.Stores[peer].Address,
 	}
@@ -183,9 +183,13 @@
 	return batch
 }
 
-// add puts one partition into the batch.
+// add puts one partition into the batch. A lease that it gives back counts no
+// longer from now on, whether or not the response arrives.
 func (b *outgoingBatch) add(p *partition, r *replica) {
 	release := p.handover.acceptsStopped
+	if release {
+		r.leaseExpires = time.Time{}
+	}
 	records, complete := r.selectRecords(&p.records, int64(len(b.bodies)))
 	for _, record := range records {
 		b.bodies = append(b.bodies, record.Body...)
@@ -271,15 +275,17 @@
 }
 
 // renewLeaseLocked notes the lease that the backup granted, or that it has its
-// lease back.
+// lease back. A batch that gave the lease back granted none, even if the handover
+// was called off before its response came.
 func (m *Manager) renewLeaseLocked(sent *sentPartition, sentAt time.Time) {
 	replica := sent.replica
-	replica.leaseReleased = sent.releaseLease
-	if sent.partition.handover.acceptsStopped {
+	if sent.releaseLease {
 		replica.leaseExpires = time.Time{}
-	} else {
-		replica.leaseExpires = sentAt.Add(m.timing.lease())
+		replica.leaseReleased = sent.partition.handover.acceptsStopped
+		return
 	}
+	replica.leaseExpires = sentAt.Add(m.timing.lease())
+	replica.leaseReleased = false
 }
 
 // verifyLocked compares what the backup holds with what is here, and starts a
--- a/internal/partition/replicator_test.go
+++ b/internal/partition/replicator_test.go
@@ -147,3 +147,43 @@
 		}
 	})
 }
+
+// A handover may be called off while the batch that gives the lease back is under
+// way: the backup has granted none then, and may become primary at any moment.
+func TestLeaseThatIsGivenBackDoesNotCount(t *testing.T) {
+	for name, response := range map[string]bool{"the response arrives": true, "the response is lost": false} {
+		synctest.Test(t, func(t *testing.T) {
+			m := startPrimary(t, placement.Backup{Store: "other", InSync: true})
+			time.Sleep(m.timing.lease()) // which this store may have granted before
+			exchange(t, m, nil)
+			if !m.MayDeliver(0) {
+				t.Fatalf("%s: no lease before the handover", name)
+			}
+			m.mu.Lock()
+			p := m.partitions[0]
+			p.handover.stopDeliveries(1)
+			p.handover.acceptsStopped = true
+			m.mu.Unlock()
+			batch := m.nextBatch("other")
+			if len(batch.request.Partitions) != 1 || !batch.request.Partitions[0].ReleaseLease {
+				t.Fatalf("%s: the batch does not give the lease back: %+v", name, batch.request)
+			}
+			sentAt := time.Now()
+			m.mu.Lock()
+			p.resume()
+			m.mu.Unlock()
+			if m.MayDeliver(0) {
+				t.Errorf("%s: delivers while the lease is on its way back", name)
+			}
+			if response {
+				m.handleResponse(&replicator{manager: m, peer: "other", wakeup: make(chan struct{}, 1)}, sentAt, batch.sent, responseTo(batch))
+			}
+			if m.MayDeliver(0) {
+				t.Errorf("%s: delivers under a lease that it gave back", name)
+			}
+			if exchange(t, m, nil); !m.MayDeliver(0) {
+				t.Errorf("%s: the next batch grants no lease", name)
+			}
+		})
+	}
+}
--- a/internal/partition/storage.go
+++ b/internal/partition/storage.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"path/filepath"
 	"strconv"
@@ -28,7 +27,7 @@
 // storage is the file of a store. Writes are queued; the goroutine of run groups
 // all that wait into one transaction.
 type storage struct {
-	db           *bbolt.DB
+	file         *boltstore.File
 	identity     string
 	lastActivity time.Time // of an earlier process; zero if there was none
 
@@ -69,89 +68,80 @@
 
 // openStorage opens the file in dir. A damaged one is moved aside: the replicas
 // on the other stores fill a new one. One that the disk can't read is left alone.
+//
+// What the file holds is loaded once. When it is opened anew after a failed
+// write, memory has all that it holds and more.
 func openStorage(dir string, warn func(format string, args ...any)) (*storage, *savedState, error) {
-	path := filepath.Join(dir, "store.db")
-	s, saved, err := readStorage(path)
-	if !errors.Is(err, boltstore.ErrDamaged) {
-		return s, saved, err
-	}
-	aside, moveErr := boltstore.MoveAside(path)
-	if moveErr != nil {
-		return nil, nil, errors.Join(err, moveErr)
-	}
-	warn("disk: %s is damaged, moved to %s: %v", path, aside, err)
-	return readStorage(path)
-}
-
-func readStorage(path string) (*storage, *savedState, error) {
-	db, err := boltstore.OpenDatabase(path)
-	if err != nil {
-		return nil, nil, err
-	}
-	saved := &savedState{epochs: fencingEpochs{}}
-	err = boltstore.Guard(path, func() error {
-		err := db.Update(saved.load)
-		if err != nil { // not after a panic: it may hold the locks that closing needs
-			_ = db.Close() // the error that matters is the one of reading
-		}
-		return err
-	})
-	if err != nil {
-		return nil, nil, fmt.Errorf("read %s: %w", path, err)
-	}
-	s := &storage{db: db, identity: saved.identity, lastActivity: saved.lastActivity, wake: make(chan struct{}, 1)}
+	var saved *savedState
+	s := &storage{wake: make(chan struct{}, 1)}
+	s.file = &boltstore.File{
+		Path:    filepath.Join(dir, "store.db"),
+		Prepare: prepareFile,
+		Load: func(tx *bbolt.Tx) (install func(), err error) {
+			if saved != nil {
+				return func() {}, nil
+			}
+			loaded, err := loadFile(tx)
+			return func() { saved = loaded }, err
+		},
+		Warn: warn,
+	}
+	if err := s.file.Open(); err != nil {
+		return nil, nil, &DiskError{Err: err}
+	}
+	s.identity = saved.identity
+	s.lastActivity = saved.lastActivity
 	return s, saved, nil
 }
 
-// load reads the file; a new one gets its buckets and its identity.
-func (saved *savedState) load(tx *bbolt.Tx) error {
-	records, err := tx.CreateBucketIfNotExists(bucketRecords)
-	if err != nil {
+// prepareFile makes the buckets and the identity of a new file.
+func prepareFile(tx *bbolt.Tx) error {
+	if _, err := tx.CreateBucketIfNotExists(bucketRecords); err != nil {
 		return err
 	}
 	meta, err := tx.CreateBucketIfNotExists(bucketMeta)
-	if err != nil {
+	if err != nil || meta.Get(keyIdentity) != nil {
 		return err
 	}
-	if err := saved.loadMeta(meta); err != nil {
-		return err
+	return meta.Put(keyIdentity, []byte(rand.Text()))
+}
+
+// loadFile reads the file. An error means that its content is damaged.
+func loadFile(tx *bbolt.Tx) (*savedState, error) {
+	saved := &savedState{epochs: fencingEpochs{}}
+	if err := saved.loadMeta(tx.Bucket(bucketMeta)); err != nil {
+		return nil, err
 	}
-	return records.ForEach(func(key, value []byte) error {
+	err := tx.Bucket(bucketRecords).ForEach(func(key, value []byte) error {
 		r, err := decodeRecord(key, value)
 		if err != nil {
-			return fmt.Errorf("%w: %w", boltstore.ErrDamaged, err)
+			return err
 		}
 		saved.records = append(saved.records, r)
 		return nil
 	})
+	return saved, err
 }
 
 func (saved *savedState) loadMeta(meta *bbolt.Bucket) error {
-	if identity := meta.Get(keyIdentity); identity != nil {
-		saved.identity = string(identity)
-	} else {
-		saved.identity = rand.Text()
-		if err := meta.Put(keyIdentity, []byte(saved.identity)); err != nil {
-			return err
-		}
-	}
+	saved.identity = string(meta.Get(keyIdentity))
 	if ms, err := strconv.ParseInt(string(meta.Get(keyActivity)), 10, 64); err == nil {
 		saved.lastActivity = time.UnixMilli(ms)
 	}
 	if raw := meta.Get(keyEpochs); raw != nil {
 		if err := json.Unmarshal(raw, &saved.epochs); err != nil {
-			return fmt.Errorf("%w: the epochs: %w", boltstore.ErrDamaged, err)
+			return fmt.Errorf("the epochs: %w", err)
 		}
 	}
 	return nil
 }
 
-// usedBytes is the size of the file without its free pages; 0 once it is closed.
+// usedBytes is the size of the file without its free pages; 0 while it is not open.
 // All of it is read in a transaction: outside of one the writer may be mapping
 // the file anew, and reading the map then ends the process.
 func (s *storage) usedBytes() int64 {
 	var size int64
-	_ = s.db.View(func(tx *bbolt.Tx) error { // fails only once the file is closed
+	_ = s.file.View(func(tx *bbolt.Tx) error { // fails only while the file is not open
 		stats := tx.DB().Stats()
 		free := int64(stats.FreePageN+stats.PendingPageN) * int64(tx.DB().Info().PageSize)
 		size = tx.Size() - free
--- a/internal/partition/storage_test.go
+++ b/internal/partition/storage_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 
 func closeDB(t *testing.T, s *storage) {
 	t.Helper()
-	if err := s.db.Close(); err != nil {
+	if err := s.file.Close(); err != nil {
 		t.Error(err)
 	}
 }
@@ -115,12 +117,11 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	closed, err := boltstore.OpenDatabase(filepath.Join(t.TempDir(), "other.db"))
+	s, _, err := openStorage(t.TempDir(), t.Logf)
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &storage{db: closed} // refuses every write
-	closeDB(t, s)
+	closeDB(t, s) // refuses every write from now on
 	if err := s.commit([]change{{key: []byte("k")}}); err == nil {
 		t.Error("a refused write is not reported")
 	}
@@ -163,3 +164,70 @@
 		t.Errorf("at most %d bytes were seen in use, %d after the end", most, s.usedBytes())
 	}
 }
+
+// A commit that failed may be on disk or not, and a sync that failed once may have
+// lost what a later one says is there. So the file is written anew before it is
+// told that a change is on disk.
+func TestFileIsWrittenAnewAfterAFailedCommit(t *testing.T) {
+	for _, step := range []string{boltstore.StepCommit, boltstore.StepSync} {
+		dir := t.TempDir()
+		s, _, err := openStorage(dir, t.Logf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		failed := map[string]bool{} // each step once
+		s.file.Fault = func(at string) error {
+			if !failed[at] && (at == step || at == boltstore.StepOpen) {
+				failed[at] = true
+				return syscall.ENOSPC
+			}
+			return nil
+		}
+		path := filepath.Join(dir, "store.db")
+		before, err := os.Stat(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		onDisk := make(chan os.FileInfo, 1)
+		s.putRecord(2, &Record{ID: "a", Length: 1, Body: []byte("b")}, func() {
+			info, err := os.Stat(path)
+			if err != nil {
+				t.Error(err)
+			}
+			onDisk <- info
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() {
+			if err := s.run(ctx, time.Millisecond, t.Logf); err != nil {
+				t.Errorf("%s: %v", step, err)
+			}
+		})
+		after := <-onDisk
+		cancel()
+		running.Wait()
+		if os.SameFile(before, after) || !failed[boltstore.StepOpen] {
+			t.Errorf("%s: the same file is written again", step)
+		}
+		s, saved, err := openStorage(dir, t.Logf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(saved.records) != 1 || saved.records[0].ID != "a" || s.identity == "" {
+			t.Errorf("%s: records %+v", step, saved.records)
+		}
+		closeDB(t, s)
+	}
+}
+
+func TestDamageEndsTheWriter(t *testing.T) {
+	s, _, err := openStorage(t.TempDir(), t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.file.Fault = func(string) error { return boltstore.ErrDamaged }
+	s.putMeta(keyProbe, []byte{})
+	if err := s.run(t.Context(), time.Millisecond, t.Logf); !errors.Is(err, boltstore.ErrDamaged) {
+		t.Errorf("the writer ended with %v", err)
+	}
+}
--- a/internal/partition/writer.go
+++ b/internal/partition/writer.go
@@ -4,14 +4,30 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.etcd.io/bbolt"
+
+	"saltreel/internal/boltstore"
 )
 
 // run writes until ctx ends and nothing is left to write, and closes the file.
-// What the disk refuses is tried again: the messages wait, unconfirmed.
+// What the disk refuses is tried again, once the file has been written anew (see
+// boltstore.File): the messages wait, unconfirmed. It ends early only if the file
+// is found damaged.
 func (s *storage) run(ctx context.Context, retry time.Duration, warn func(format string, args ...any)) error {
+	recovering, stop := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.file.Recover(recovering, retry) })
+	err := s.write(ctx, retry, warn)
+	stop()
+	tasks.Wait()
+	return errors.Join(err, s.file.Close())
+}
+
+// write writes until ctx ends and nothing is left to write.
+func (s *storage) write(ctx context.Context, retry time.Duration, warn func(format string, args ...any)) error {
 	for {
 		batch := s.dequeue()
 		if len(batch) == 0 {
@@ -19,11 +35,11 @@
 			case <-s.wake:
 				continue
 			case <-ctx.Done():
-				return s.db.Close()
+				return nil
 			}
 		}
 		if err := s.commitWithRetry(ctx, batch, retry, warn); err != nil {
-			return errors.Join(fmt.Errorf("write to disk: %w", err), s.db.Close())
+			return fmt.Errorf("write to disk: %w", err)
 		}
 		s.reportWritten(batch, warn)
 	}
@@ -39,8 +55,9 @@
 	return batch
 }
 
-// commitWithRetry writes a batch. It returns an error only if ctx ends while the
-// disk refuses the batch.
+// commitWithRetry writes a batch. A batch may be written twice, since a commit
+// that failed may be on disk: its changes only set and delete values. It returns an
+// error only if ctx ends while the disk refuses the batch, or the file is damaged.
 func (s *storage) commitWithRetry(ctx context.Context, batch []change, retry time.Duration, warn func(format string, args ...any)) error {
 	for {
 		err := s.commit(batch)
@@ -53,6 +70,9 @@
 		}
 		s.health.refused = err
 		s.mu.Unlock()
+		if errors.Is(err, boltstore.ErrDamaged) {
+			return err
+		}
 		select {
 		case <-time.After(retry):
 		case <-ctx.Done():
@@ -93,7 +113,7 @@
 		s.health.finish(time.Since(started))
 		s.mu.Unlock()
 	}()
-	return s.db.Update(func(tx *bbolt.Tx) error {
+	return s.file.Update(func(tx *bbolt.Tx) error {
 		records, meta := tx.Bucket(bucketRecords), tx.Bucket(bucketMeta)
 		for _, c := range batch {
 			bucket := records
