httpwire: a shutdown answers every request that was read

Cause: when the time of Shutdown was over, connections were closed whose requests were still being handled; a second Shutdown panicked; a close with unread bytes could reset the last response away; an idle connection could miss the shutdown. Change: the contexts of the handlers end first, so that they answer 503 or 504 by what they know; requests that are not whole get 408; the last response of a connection is followed by a half-close and a bounded read. A panic of an edge's handler is answered 502. An edge does not ask for the host of a query any more: one that does not know a new route yet said 404 of an accepted message. An attempt that ends with its request is no failure of the primary. Result: the new tests in server_test.go fail before.

--- a/internal/configuration/table.go
+++ b/internal/configuration/table.go
@@ -57,9 +57,6 @@
 	return nil
 }
 
-// HasHost reports whether any route matches a host, with or without a port.
-func (t *Table) HasHost(host string) bool { return t.routesOf(host) != nil }
-
 // routesOf returns the routes of a host. A host with a port may be configured
 // as such; otherwise the routes of the host without it apply.
 func (t *Table) routesOf(host string) []*Route {
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -34,6 +36,16 @@
 	return response
 }
 
+// answerPanic answers a request whose handler panicked. An edge keeps nothing
+// between requests that the other requests depend on, so it goes on. The message
+// may have been accepted.
+func (e *Edge) answerPanic(r *httpwire.Request, reason any) *httpwire.Response {
+	e.log.Printf("edge: panic at %s %s: %v\n%s", r.Method, r.URL.Path, reason, debug.Stack())
+	response := httpwire.Problem(http.StatusBadGateway, "an internal error; the message may have been accepted")
+	response.Close = true
+	return response
+}
+
 // throttle records what a request used. Over a limit, the answer goes out at once
 // and names the throttle time X; then reads from the connection stop for as long.
 func (e *Edge) throttle(r *httpwire.Request, m *client.Message, route *configuration.Route, waited time.Duration, response *httpwire.Response) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,7 +81,7 @@
 	defer stopServing()
 	publisher := e.node.Publisher()
 	internal := &httpwire.Server{Handle: rpc.Mux{"/news": publisher.Handle}.Handle}
-	clients := &httpwire.Server{Handle: e.handle, Limits: e.limits}
+	clients := &httpwire.Server{Handle: e.handle, Limits: e.limits, OnPanic: e.answerPanic, AnswerTime: e.timing.answerTime()}
 	var tasks sync.WaitGroup
 	for _, task := range []func(){
 		func() { _ = internal.Serve(serving, listeners.internal) },
@@ -130,7 +130,8 @@
 
 // drainClients ends the service for clients: the process is not ready any more,
 // but serves until the platform has noticed; then the requests that were read are
-// answered, and connections on hold are released.
+// answered, and connections on hold are released. What takes longer than the
+// shutdown may is answered by what is known of it: 503 or 504.
 func (e *Edge) drainClients(clients *httpwire.Server) {
 	e.stopping.Store(true)
 	e.node.Drain()
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -52,7 +52,7 @@
 			e.stalled.clear(target)
 			return target, nil
 		}
-		if final := e.handleFailure(&f, p, target, err); final != nil {
+		if final := e.handleFailure(ctx, &f, p, target, err); final != nil {
 			return 0, final
 		}
 		waitForChange(ctx, e.retryDelay(&f, p), placementChanged)
@@ -103,8 +103,9 @@
 }
 
 // handleFailure draws the conclusions from a failed attempt. It returns the error
-// of the forward where another attempt would not help, else nil.
-func (e *Edge) handleFailure(f *forwarding, p *placement.Placement, target int, err error) error {
+// of the forward where another attempt would not help, else nil. An attempt that
+// ended with its request says nothing about the primary.
+func (e *Edge) handleFailure(ctx context.Context, f *forwarding, p *placement.Placement, target int, err error) error {
 	outcome := classifyAttempt(err)
 	if outcome == attemptIDConflict {
 		return errIDConflict
@@ -114,10 +115,11 @@
 	if f.pinned == noPartition && e.declinedByAll(f) {
 		return &notAcceptedError{cause: err}
 	}
-	switch outcome {
-	case attemptNotSent:
+	switch {
+	case ctx.Err() != nil:
+	case outcome == attemptNotSent:
 		e.node.ReportFailure(primary, httpwire.ConnectionRefused(err))
-	case attemptUnanswered:
+	case outcome == attemptUnanswered:
 		e.node.ReportFailure(primary, false)
 	}
 	if len(f.avoided) >= len(p.Stores) { // all were asked: begin again
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -20,9 +20,6 @@
 // answerQuery answers a query about a message: for its state (kind "status") or
 // its body (kind "body").
 func (e *Edge) answerQuery(ctx context.Context, r *httpwire.Request, table *configuration.Table, kind, name string) *httpwire.Response {
-	if !table.HasHost(r.Host) {
-		return httpwire.Problem(404, "no route has this host")
-	}
 	tenant, ok := queryTenant(table, r.Header.Get("Saltreel-Key"))
 	if !ok {
 		return httpwire.Problem(401, "the key is unknown")
@@ -88,7 +85,9 @@
 			return answer, nil
 		}
 		if err != nil {
-			e.node.ReportFailure(primary, httpwire.ConnectionRefused(err))
+			if ctx.Err() == nil {
+				e.node.ReportFailure(primary, httpwire.ConnectionRefused(err))
+			}
 		} else {
 			err = &rpc.StatusError{Code: answer.Status, Text: string(answer.Body)}
 		}
--- a/internal/edge/timing.go
+++ b/internal/edge/timing.go
@@ -60,6 +60,10 @@
 // the platform to notice.
 func (t timing) unreadyDelay() time.Duration { return t.grace * 2 / 5 }
 
-// shutdownTimeout bounds the answers that are under way after that. A fifth of
+// shutdownTimeout bounds the forwards that are under way after that. A fifth of
 // the grace is left for the rest.
 func (t timing) shutdownTimeout() time.Duration { return t.grace * 2 / 5 }
+
+// answerTime is how long the answers may take to the requests whose forward did
+// not end in that time. A tenth of the grace is left for the rest.
+func (t timing) answerTime() time.Duration { return t.grace / 10 }
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// How much of a rejected request is read, and for how long, before its connection
-// is closed.
+// How much is read, and for how long, behind the last response of a connection
+// before it is closed.
 const (
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
@@ -82,7 +82,7 @@
 		c.reject(w, err, limits)
 		return false
 	}
-	response := c.server.Handle(ctx, request)
+	response := c.handle(ctx, request)
 	if response == nil {
 		return false
 	}
@@ -91,9 +91,24 @@
 	if response.writeTo(w, last, request.Method != http.MethodHead) != nil {
 		return false
 	}
+	if last {
+		c.closeAfterResponse()
+	}
 	return !last
 }
 
+// handle has the handler answer a request.
+func (c *Conn) handle(ctx context.Context, request *Request) (response *Response) {
+	if c.server.OnPanic != nil {
+		defer func() {
+			if reason := recover(); reason != nil {
+				response = c.server.OnPanic(request, reason)
+			}
+		}()
+	}
+	return c.server.Handle(ctx, request)
+}
+
 // waitWhileHeld reports false if ctx ends while the connection is held.
 func (c *Conn) waitWhileHeld(ctx context.Context) bool {
 	if c.hold == nil {
@@ -113,12 +128,13 @@
 // connection ends, is idle for too long, or the server has stopped.
 func (c *Conn) awaitRequest(idleTimeout time.Duration) bool {
 	if c.reader.Buffered() == 0 {
-		if !c.server.setIdle(c, true) {
-			return false
-		}
 		if idleTimeout > 0 {
 			c.limitRead(time.Now().Add(idleTimeout))
 		}
+		// Only then idle: a shutdown interrupts the reads of idle connections.
+		if !c.server.setIdle(c, true) {
+			return false
+		}
 		if _, err := c.reader.Peek(1); err != nil {
 			return false
 		}
@@ -141,16 +157,32 @@
 	c.lingeringClose()
 }
 
-// lingeringClose reads some of what a rejected client still sends: closing with
-// unread bytes resets the connection, and the client could lose the response.
+// closeAfterResponse ends a connection with its last response: it tells the
+// client so, and reads what the client sent meanwhile.
+func (c *Conn) closeAfterResponse() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return // the client would not learn before the close that the connection ends
+	}
+	c.lingeringClose()
+}
+
+// lingeringClose reads some of what the client still sends: closing with unread
+// bytes resets the connection, and the client could lose the response.
 func (c *Conn) lingeringClose() {
-	c.limitRead(time.Now().Add(lingerTime))
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))  // not bounded by a shutdown, whose answers these are
 	_, _ = io.CopyN(io.Discard, c.reader, lingerBytes) // the connection ends in any case
 }
 
-// limitRead sets the deadline of reads; the zero time removes it. An error means
-// that the connection is closed, which the next read reports.
-func (c *Conn) limitRead(deadline time.Time) { _ = c.SetReadDeadline(deadline) }
+// limitRead sets the deadline of reads; the zero time removes it. A shutdown
+// bounds all of them. An error means that the connection is closed, which the
+// next read reports.
+func (c *Conn) limitRead(deadline time.Time) {
+	_ = c.SetReadDeadline(c.server.readDeadline(deadline))
+}
+
+// interruptRead ends the read under way.
+func (c *Conn) interruptRead() { _ = c.SetReadDeadline(time.Now()) }
 
 // limitWrite bounds the writing of a response: a client that does not read is
 // waited for no longer than one that does not send. As for limitRead, an error
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -18,9 +18,13 @@
 	// acceptRetryDelay is the wait after a failed Accept, for instance when there
 	// are too many open files.
 	acceptRetryDelay = 50 * time.Millisecond
+	// defaultAnswerTime is Server.AnswerTime where it is not set.
+	defaultAnswerTime = 200 * time.Millisecond
 )
 
 // Handler answers one request. A nil response closes the connection without one.
+// When ctx ends, for instance since the server shuts down, it answers at once by
+// what it knows.
 type Handler func(ctx context.Context, r *Request) *Response
 
 // Limits bound what the server reads. Zero means no bound.
@@ -33,13 +37,23 @@
 type Server struct {
 	Handle Handler
 	Limits func() Limits // asked for each request; nil: no bounds
+	// OnPanic answers a request whose handler panicked. Nil: the panic ends the
+	// process, as is right where the handler may have left shared state half
+	// changed.
+	OnPanic func(r *Request, reason any) *Response
+	// AnswerTime is how long the answers may take that Shutdown asks for when its
+	// context ends; 0: defaultAnswerTime.
+	AnswerTime time.Duration
 
-	mu       sync.Mutex
-	conns    map[*Conn]bool // true while idle
-	closing  bool           // responses carry Connection: close
-	stopped  bool           // no connection is accepted, none becomes idle
-	listener net.Listener
-	active   sync.WaitGroup // counts conns
+	mu          sync.Mutex
+	conns       map[*Conn]bool // true while idle
+	closing     bool           // responses carry Connection: close
+	stopped     bool           // no connection is accepted, none becomes idle
+	readsEnd    time.Time      // no request is read for longer; zero: no bound
+	listener    net.Listener
+	handling    context.Context // of the handlers; nil before the first connection
+	endHandling context.CancelFunc
+	active      sync.WaitGroup // counts conns
 }
 
 // Serve accepts connections until the listener is closed. When ctx ends, it
@@ -48,7 +62,12 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	s.mu.Lock()
 	s.listener = l
+	stopped := s.stopped
 	s.mu.Unlock()
+	if stopped {
+		closeConnection(l)
+		return nil
+	}
 	stop := context.AfterFunc(ctx, func() {
 		closeConnection(l)
 		s.closeAll()
@@ -98,9 +117,20 @@
 	return c
 }
 
+// handlerContext is the context of the handlers, which Shutdown may end before
+// that of Serve ends.
+func (s *Server) handlerContext(ctx context.Context) context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handling == nil {
+		s.handling, s.endHandling = context.WithCancel(ctx)
+	}
+	return s.handling
+}
+
 func (s *Server) serveTracked(ctx context.Context, c *Conn) {
 	defer s.active.Done()
-	c.serve(ctx)
+	c.serve(s.handlerContext(ctx))
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
@@ -116,7 +146,10 @@
 
 // Shutdown accepts no more connections, closes the idle ones, releases the held
 // ones, and waits until the others have finished their request. When ctx ends,
-// it closes those too.
+// the contexts of the handlers end too, so that they answer at once by what they
+// know, and requests that have not come whole are rejected; connections are
+// closed without an answer only if that takes longer than AnswerTime. It may be
+// called again, and then waits as well.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.stop()
 	done := make(chan struct{})
@@ -126,14 +159,34 @@
 	}()
 	select {
 	case <-done:
+		s.endRequests()
+		return
 	case <-ctx.Done():
+	}
+	s.endRequests()
+	timer := time.NewTimer(s.answerTime())
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 		s.closeAll()
 	}
 }
 
+func (s *Server) answerTime() time.Duration {
+	if s.AnswerTime > 0 {
+		return s.AnswerTime
+	}
+	return defaultAnswerTime
+}
+
+// stop begins a shutdown. Only the first call has an effect.
 func (s *Server) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
 	s.closing = true
 	s.stopped = true
 	if s.listener != nil {
@@ -142,11 +195,24 @@
 	for c, idle := range s.conns {
 		close(c.draining)
 		if idle {
-			c.limitRead(time.Now())
+			c.interruptRead()
 		}
 	}
 }
 
+// endRequests ends the contexts of the handlers and the reading of requests.
+func (s *Server) endRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endHandling != nil {
+		s.endHandling()
+	}
+	s.readsEnd = time.Now()
+	for c := range s.conns {
+		c.interruptRead()
+	}
+}
+
 // closeAll closes every connection, whatever it does.
 func (s *Server) closeAll() {
 	s.mu.Lock()
@@ -170,6 +236,17 @@
 	return true
 }
 
+// readDeadline is the deadline of a read: the given one, zero for none, or the
+// end of all reading.
+func (s *Server) readDeadline(wanted time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readsEnd.IsZero() || !wanted.IsZero() && wanted.Before(s.readsEnd) {
+		return wanted
+	}
+	return s.readsEnd
+}
+
 func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +122,214 @@
 		}
 	}
 }
+
+// client is the far end of a connection to a server.
+type client struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// connectTo opens a connection to a server.
+func connectTo(t *testing.T, s *Server) *client {
+	t.Helper()
+	near, far := net.Pipe()
+	go s.ServeConn(t.Context(), far)
+	return &client{t, near, bufio.NewReader(near)}
+}
+
+func (c *client) send(raw string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, raw); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// status reads one response; 0 if the connection ended without one.
+func (c *client) status() int {
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.StatusCode
+}
+
+const plainRequest = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+
+// untilDone is a handler that takes as long as it may.
+func untilDone(ctx context.Context, _ *Request) *Response {
+	<-ctx.Done()
+	return &Response{Status: 503}
+}
+
+func shutdownWithin(s *Server, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	s.Shutdown(ctx)
+}
+
+// When the time of a shutdown is over, handlers are told so, and what they answer
+// still goes out.
+func TestShutdownAnswersEveryRequestThatWasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Handle: untilDone}
+		c := connectTo(t, s)
+		c.send(plainRequest)
+		status := make(chan int, 1)
+		go func() { status <- c.status() }()
+		synctest.Wait()
+		began := time.Now()
+		shutdownWithin(s, time.Second)
+		if took := time.Since(began); took != time.Second {
+			t.Errorf("the shutdown took %v", took)
+		}
+		if got := <-status; got != 503 {
+			t.Errorf("answered %d", got)
+		}
+	})
+}
+
+// A request that has not come whole in time is rejected: it never runs.
+func TestShutdownRejectsARequestThatIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Handle: untilDone}
+		c := connectTo(t, s)
+		c.send(plainRequest[:len(plainRequest)-1])
+		status := make(chan int, 1)
+		go func() { status <- c.status() }()
+		synctest.Wait()
+		shutdownWithin(s, time.Second)
+		if got := <-status; got != http.StatusRequestTimeout {
+			t.Errorf("answered %d", got)
+		}
+	})
+}
+
+// A request that became whole while the server shuts down is answered too.
+func TestShutdownAnswersARequestThatBecomesWholeMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Handle: untilDone}
+		c := connectTo(t, s)
+		c.send(plainRequest[:20])
+		time.AfterFunc(900*time.Millisecond, func() { c.send(plainRequest[20:]) })
+		status := make(chan int, 1)
+		go func() { status <- c.status() }()
+		synctest.Wait()
+		shutdownWithin(s, time.Second)
+		if got := <-status; got != 503 {
+			t.Errorf("answered %d", got)
+		}
+	})
+}
+
+// A handler that ignores the end of its context does not hold the process.
+func TestShutdownEndsWithoutAHandlerThatDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		s := &Server{AnswerTime: 300 * time.Millisecond, Handle: func(context.Context, *Request) *Response {
+			<-release
+			return nil
+		}}
+		c := connectTo(t, s)
+		c.send(plainRequest)
+		synctest.Wait()
+		began := time.Now()
+		shutdownWithin(s, time.Second)
+		if took := time.Since(began); took != 1300*time.Millisecond {
+			t.Errorf("the shutdown took %v", took)
+		}
+		close(release)
+	})
+}
+
+func TestShutdownMayBeCalledAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Handle: untilDone}
+		c := connectTo(t, s)
+		c.send(plainRequest)
+		status := make(chan int, 1)
+		go func() { status <- c.status() }()
+		synctest.Wait()
+		go shutdownWithin(s, time.Second)
+		shutdownWithin(s, 2*time.Second)
+		shutdownWithin(s, time.Second)
+		if got := <-status; got != 503 {
+			t.Errorf("answered %d", got)
+		}
+	})
+}
+
+func TestPanicOfAHandlerIsAnsweredWhereTheServerSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{
+			Handle:  func(context.Context, *Request) *Response { panic("a fault of the program") },
+			OnPanic: func(_ *Request, reason any) *Response { return Problem(502, reason.(string)) },
+		}
+		c := connectTo(t, s)
+		for range 2 { // the connection goes on
+			c.send(plainRequest)
+			if got := c.status(); got != 502 {
+				t.Errorf("answered %d", got)
+			}
+		}
+		closeConnection(c.conn)
+	})
+}
+
+// halfCloser is a connection that notes how it is closed.
+type halfCloser struct {
+	net.Conn
+	mu    sync.Mutex
+	steps []string
+}
+
+func (c *halfCloser) note(step string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steps = append(c.steps, step)
+}
+
+func (c *halfCloser) CloseWrite() error {
+	c.note("close write")
+	return nil
+}
+
+func (c *halfCloser) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.steps) > 0 && n > 0 {
+		c.steps = append(c.steps, "read")
+	}
+	return n, err
+}
+
+func (c *halfCloser) Close() error {
+	c.note("close")
+	return c.Conn.Close()
+}
+
+// Closing with unread bytes resets the connection, and the client could lose the
+// last response. So what it sends meanwhile is read first.
+func TestLastResponseIsNotLostByAReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Handle: func(context.Context, *Request) *Response { return &Response{Status: 200, Close: true} }}
+		near, far := net.Pipe()
+		conn := &halfCloser{Conn: far}
+		go s.ServeConn(t.Context(), conn)
+		c := &client{t, near, bufio.NewReader(near)}
+		c.send(plainRequest)
+		if got := c.status(); got != 200 {
+			t.Fatalf("answered %d", got)
+		}
+		c.send(plainRequest) // which the client sent before it had read that
+		closeConnection(near)
+		synctest.Wait()
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		if want := []string{"close write", "read", "close"}; !slices.Equal(conn.steps, want) {
+			t.Errorf("the connection was closed by %v, not %v", conn.steps, want)
+		}
+	})
+}
