node: retries of a store's first heartbeat do not add up

Cause: each heartbeat that was refused started a retry of its own, up to one call a millisecond while no core listens. Change: one retry waits at a time.

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -17,14 +17,17 @@
 
 // heartbeats is what differs between the heartbeats of a node.
 type heartbeats struct {
-	sendNow chan struct{} // holds a value when the next one shall be sent at once
+	sendNow  chan struct{} // holds a value when the next one shall be sent at once
+	retrying *atomic.Bool  // a retry waits for its time
 
 	mu       sync.Mutex
 	sequence int64
 	draining bool
 }
 
-func newHeartbeats() heartbeats { return heartbeats{sendNow: make(chan struct{}, 1)} }
+func newHeartbeats() heartbeats {
+	return heartbeats{sendNow: make(chan struct{}, 1), retrying: &atomic.Bool{}}
+}
 
 // next gives the next heartbeat of a node.
 func (h *heartbeats) next(self membership.Node) membership.Node {
@@ -95,8 +98,9 @@
 		acknowledged.Store(true)
 		return
 	}
-	if n.self.Role == "store" && !acknowledged.Load() && httpwire.ConnectionRefused(err) {
+	if n.self.Role == "store" && !acknowledged.Load() && httpwire.ConnectionRefused(err) && n.heartbeats.retrying.CompareAndSwap(false, true) {
 		timeutil.Sleep(ctx, n.timing.startupRetryDelay())
+		n.heartbeats.retrying.Store(false)
 		n.heartbeats.sendSoon()
 	}
 }
--- a/internal/node/heartbeat_test.go
+++ b/internal/node/heartbeat_test.go
@@ -1,7 +1,15 @@
 package node
 
 import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"saltreel/internal/membership"
 )
@@ -36,6 +44,32 @@
 	}
 }
 
+// A store whose cores are not up yet tries again soon, but not ever more often.
+func TestRetriesOfTheFirstHeartbeatDoNotAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int64
+		config := testConfig()
+		config.Role = "store"
+		config.Network.Dial = func(context.Context, string) (net.Conn, error) {
+			dials.Add(1)
+			return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
+		}
+		n := New(config)
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		tasks.Go(func() { n.runHeartbeats(ctx) })
+		time.Sleep(4 * n.timing.contact)
+		cancel()
+		tasks.Wait()
+		n.background.stop()
+		ordinary := 4 * n.timing.contact / n.timing.heartbeatInterval("store")
+		retries := 4 * n.timing.contact / n.timing.startupRetryDelay()
+		if got := time.Duration(dials.Load()); got > ordinary+retries+2 || got < retries/2 {
+			t.Errorf("%d heartbeats were tried, at most %d are due", got, ordinary+retries)
+		}
+	})
+}
+
 func TestUnhealthyNodeSendsNoHeartbeat(t *testing.T) {
 	healthy := true
 	config := testConfig()
