cluster: a search of planned work and faults under traffic of messages

Cause: the search played cores only, and no process through its life-cycle, so LOST under planned work was not found. Change: TestMessageSearch rolls, replaces and reconfigures whole clusters while clients send, and checks that each request that was read is answered, each accepted message is found with its bytes and runs (once under planned work), and the order of keys. The simulated connections reset on a close with unread bytes, as TCP does.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -70,7 +70,12 @@
 	lastID        int // of newID
 	hostFailures  int // that the cluster tolerates
 	mu            sync.Mutex
-	coreAddresses []string // IPs; guarded by mu
+
+	// Guarded by mu, as is what the machines hold of their processes:
+	coreAddresses   []string // IPs
+	settingsChanges int
+
+	plantedRelease bool // SIGHUP gets its default action once SIGTERM has come
 }
 
 // machine is one host with one process of ours. Its name, address and disk
@@ -180,8 +185,14 @@
 timers.status-ttl-s=120
 timers.origin-overshoot=1.1
 timers.quota-allowance=20
-some.field.from.later=1
-`, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.dataPath, strings.Join(w.controlAddresses(), ","), w.hostFailures)
+some.field.from.later=%[10]d
+`, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.dataPath, strings.Join(w.controlAddresses(), ","), w.hostFailures, w.settingsChangeCount())
+}
+
+func (w *world) settingsChangeCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.settingsChanges
 }
 
 // startMachine starts the process of a machine on the disk that it has.
@@ -199,18 +210,21 @@
 func (w *world) start(m *machine, bootstrap bool, ended func(error)) {
 	w.t.Helper()
 	p := &process{network: w.network, ip: m.ip}
+	signals := &signalSource{defaultAction: p.kill, releasesHangup: w.plantedRelease}
+	done := make(chan struct{})
+	w.mu.Lock()
 	m.process = p
-	m.signals = &signalSource{defaultAction: p.kill}
-	m.cancel = func() { m.signals.send(syscall.SIGTERM) }
-	m.done = make(chan struct{})
-	lifecycle, err := platform.NewLifecycle(m.role, platform.RegisterSignals(m.signals), startOf(m.role, p.httpNetwork()), newLogger(m.name))
+	m.signals = signals
+	m.cancel = func() { signals.send(syscall.SIGTERM) }
+	m.done = done
+	w.mu.Unlock()
+	lifecycle, err := platform.NewLifecycle(m.role, platform.RegisterSignals(signals), startOf(m.role, p.httpNetwork()), newLogger(m.name))
 	if err != nil {
 		w.t.Fatalf("start %s: %v", m.name, err)
 	}
 	// The data path of an incarnation stays while it runs.
 	running := *m
 	lifecycle.ReadSettings = func() ([]byte, error) { return []byte(w.settingsFile(&running, bootstrap)), nil }
-	done := m.done
 	w.goroutines.Go(func() {
 		defer close(done)
 		ended(lifecycle.Run())
@@ -243,7 +257,7 @@
 // nothing any more. Its disk stays as it was.
 func (w *world) killMachine(name string) {
 	m := w.machines[name]
-	m.process.kill()
+	w.processOf(name).kill()
 	synctest.Wait()
 	w.kills++
 	copied := filepath.Join(w.dataPath, fmt.Sprintf("%s-%d", name, w.kills))
@@ -253,15 +267,18 @@
 		}
 		m.dataPath = copied
 	}
-	m.cancel()
+	w.signal(name, syscall.SIGTERM) // its goroutines end
 }
 
 // terminateMachine stops a process in order, as SIGTERM does, and returns how
 // long that took.
 func (w *world) terminateMachine(name string) time.Duration {
 	began := time.Now()
-	w.machines[name].cancel()
-	<-w.machines[name].done
+	w.mu.Lock()
+	cancel, done := w.machines[name].cancel, w.machines[name].done
+	w.mu.Unlock()
+	cancel()
+	<-done
 	return time.Since(began)
 }
 
@@ -282,6 +299,34 @@
 	w.coreAddresses[at] = ip
 }
 
+// processOf is the current incarnation of a machine's process.
+func (w *world) processOf(name string) *process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[name].process
+}
+
+// signalsOf is the signals of the current incarnation; nil if there was none yet.
+func (w *world) signalsOf(name string) *signalSource {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.machines[name].signals
+}
+
+// signal gives a machine's process a signal, if it has one.
+func (w *world) signal(name string, s os.Signal) {
+	if signals := w.signalsOf(name); signals != nil {
+		signals.send(s)
+	}
+}
+
+// changeSettings makes the settings files of all machines others than before.
+func (w *world) changeSettings() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settingsChanges++
+}
+
 // setCoreAddresses names the cores in the settings of all machines.
 func (w *world) setCoreAddresses(cores []*machine) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/cluster/message_search_run_test.go
@@ -0,0 +1,263 @@
+package cluster
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// restartDelay is how long a machine that was stopped in order is down.
+	restartDelay = 500 * time.Millisecond
+	// recoveryTime is how long a store or a core counts as lost after it is back.
+	recoveryTime = 4300 * time.Millisecond
+	// settleTime is the calm between the last step and the end of the traffic.
+	settleTime = 6 * time.Second
+	// gracePeriod is that of the settings, after which the platform kills.
+	gracePeriod = 6 * time.Second
+)
+
+// maintenance runs one schedule on a cluster with traffic.
+type maintenance struct {
+	world   *world
+	plan    maintenancePlan
+	fault   maintenanceFault
+	traffic *messageTraffic
+	tasks   sync.WaitGroup
+
+	// One store and one core is lost at a time: that many the cluster tolerates.
+	// Channels and not mutexes, which stop the clock of the bubble.
+	storeTurn chan struct{}
+	coreTurn  chan struct{}
+	edgeTurn  map[string]chan struct{} // by name
+	orderTurn chan struct{}            // of changes of the configuration
+
+	mu        sync.Mutex
+	spares    []string // names of the machines that may replace a core
+	cores     []string // names of those that run
+	firstFail *violation
+	faulted   []*process // that a fault has struck
+}
+
+// newMaintenance makes a cluster that runs, with one spare core in each zone.
+func newMaintenance(t *testing.T, dir string, plan maintenancePlan, fault maintenanceFault) *maintenance {
+	m := &maintenance{
+		world: newWorld(t, dir, 1, "10.1.0.1", "10.2.0.1", "10.3.0.1"), plan: plan, fault: fault,
+		storeTurn: make(chan struct{}, 1), coreTurn: make(chan struct{}, 1), orderTurn: make(chan struct{}, 1),
+		edgeTurn: map[string]chan struct{}{},
+	}
+	w := m.world
+	w.plantedRelease = fault.releasesHangup
+	for i, z := range zones {
+		spare := "core-spare-" + z
+		w.machines[spare] = &machine{name: spare, role: "core", zone: z, ip: fmt.Sprintf("10.%d.0.4", i+1), dataPath: dir + "/" + spare, cancel: func() {}}
+		m.spares = append(m.spares, spare)
+		m.cores = append(m.cores, "core-"+z)
+		m.edgeTurn["edge-"+z] = make(chan struct{}, 1)
+		for j, role := range []string{"core", "store", "edge"} {
+			w.addMachine(role+"-"+z, role, z, fmt.Sprintf("10.%d.0.%d", i+1, j+1), true)
+		}
+	}
+	w.waitFor(15*time.Second, "the first placement", func() bool {
+		s, err := w.status()
+		return err == nil && len(s.Placement.Partitions) > 0
+	})
+	m.traffic = newMessageTraffic(m)
+	w.applyConfiguration(options{})
+	return m
+}
+
+// run plays the steps under traffic, and checks what is left in the end.
+func (m *maintenance) run() {
+	m.plantFaults()
+	m.traffic.start()
+	for _, s := range m.plan.steps {
+		time.Sleep(s.wait)
+		m.tasks.Go(func() { m.perform(s) })
+	}
+	m.tasks.Wait()
+	time.Sleep(settleTime)
+	m.traffic.stop()
+	m.traffic.checkEnd()
+}
+
+func (m *maintenance) perform(s maintenanceStep) {
+	zone := zones[s.machine]
+	switch s.kind {
+	case rollEdge:
+		m.rollEdge("edge-" + zone)
+	case rollStore:
+		m.inTurn(m.storeTurn, func() { m.roll("store-" + zone) })
+	case rollCore:
+		m.inTurn(m.coreTurn, func() { m.roll(m.runningCore(s.machine)) })
+	case hangUp:
+		m.signalAll(syscall.SIGHUP)
+	case changeSettings:
+		m.world.changeSettings()
+		m.signalAll(syscall.SIGHUP)
+	case replaceCore:
+		m.inTurn(m.coreTurn, func() { m.replaceCore(s.machine) })
+	case replaceCoreDuringRolls:
+		m.tasks.Go(func() { m.inTurn(m.coreTurn, func() { m.replaceCore(s.machine) }) })
+		for _, z := range zones {
+			m.rollEdge("edge-" + z)
+		}
+	case changeConfiguration:
+		m.inTurn(m.orderTurn, func() { m.changeConfiguration(s) })
+	default:
+		m.injectFault(s, zone)
+	}
+}
+
+// injectFault strikes one machine for a while.
+func (m *maintenance) injectFault(s maintenanceStep, zone string) {
+	switch s.kind {
+	case killEdge:
+		m.inTurn(m.edgeTurn["edge-"+zone], func() { m.kill("edge-"+zone, s.lasts, false) })
+	case killStore:
+		m.inTurn(m.storeTurn, func() { m.kill("store-"+zone, s.lasts, false) })
+	case wipeStore:
+		m.inTurn(m.storeTurn, func() { m.kill("store-"+zone, s.lasts, true) })
+	case killCore:
+		m.inTurn(m.coreTurn, func() { m.kill(m.runningCore(s.machine), s.lasts, false) })
+	case isolateStore:
+		m.inTurn(m.storeTurn, func() {
+			ip := m.world.machines["store-"+zone].ip
+			m.world.network.isolate(ip, true)
+			time.Sleep(s.lasts)
+			m.world.network.isolate(ip, false)
+			time.Sleep(recoveryTime)
+		})
+	}
+}
+
+func (m *maintenance) inTurn(turn chan struct{}, do func()) {
+	turn <- struct{}{}
+	defer func() { <-turn }()
+	do()
+}
+
+func (m *maintenance) rollEdge(name string) {
+	m.inTurn(m.edgeTurn[name], func() {
+		m.terminate(name)
+		time.Sleep(restartDelay)
+		m.world.startMachine(name, false)
+	})
+}
+
+// roll stops a store or core in order, and starts it again.
+func (m *maintenance) roll(name string) {
+	m.terminate(name)
+	time.Sleep(restartDelay)
+	m.world.startMachine(name, false)
+	time.Sleep(recoveryTime)
+}
+
+// terminate stops a process in order, which must not take longer than the
+// platform waits.
+func (m *maintenance) terminate(name string) {
+	if took := m.world.terminateMachine(name); took > gracePeriod {
+		m.fail("grace", "%s took %v to stop", name, took)
+	}
+}
+
+// kill crashes a machine; it comes back later, with an empty disk if it is wiped.
+func (m *maintenance) kill(name string, lasts time.Duration, wiped bool) {
+	w := m.world
+	m.mu.Lock()
+	m.faulted = append(m.faulted, w.processOf(name))
+	m.mu.Unlock()
+	w.killMachine(name)
+	if wiped {
+		w.wipeDisk(name)
+	}
+	time.Sleep(lasts)
+	w.startMachine(name, false)
+	if w.machines[name].role != "edge" {
+		time.Sleep(recoveryTime)
+	}
+}
+
+// runningCore is the name of a core that runs.
+func (m *maintenance) runningCore(n int) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cores[n%len(m.cores)]
+}
+
+// replaceCore starts a new core and stops one in order; the settings of all
+// machines name the new one.
+func (m *maintenance) replaceCore(n int) {
+	m.mu.Lock()
+	if len(m.spares) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	spare, old := m.spares[0], m.cores[n%len(m.cores)]
+	m.spares = m.spares[1:]
+	m.cores = append(slices.DeleteFunc(slices.Clone(m.cores), func(c string) bool { return c == old }), spare)
+	m.mu.Unlock()
+	w := m.world
+	w.startMachine(spare, false)
+	time.Sleep(recoveryTime)
+	w.setCoreAddresses(m.coreMachines())
+	m.signalAll(syscall.SIGHUP)
+	m.terminate(old)
+	m.signalAll(syscall.SIGHUP)
+	time.Sleep(recoveryTime)
+}
+
+func (m *maintenance) coreMachines() (machines []*machine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range m.cores {
+		machines = append(machines, m.world.machines[name])
+	}
+	return machines
+}
+
+func (m *maintenance) signalAll(s syscall.Signal) {
+	for name := range m.world.machines {
+		m.world.signal(name, s)
+	}
+}
+
+// changeConfiguration puts the next configuration in force.
+func (m *maintenance) changeConfiguration(s maintenanceStep) {
+	w := m.world
+	revision := w.revision + 1
+	raw := w.configuration(revision, options{retentionSeconds: 90 + float64(s.machine)})
+	for range 40 {
+		if w.operator().PutConfiguration(t0(), raw, int64(w.revision)) == nil {
+			w.revision = revision
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	m.fail("order", "revision %d is not acknowledged", revision)
+}
+
+// fail records the first violation.
+func (m *maintenance) fail(class, format string, args ...any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.firstFail == nil {
+		m.firstFail = &violation{class, fmt.Sprintf("at %v: ", time.Since(m.traffic.startedAt)) + fmt.Sprintf(format, args...)}
+	}
+}
+
+func (m *maintenance) violation() *violation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.firstFail
+}
+
+// wasFaulted reports whether a fault has struck a process.
+func (m *maintenance) wasFaulted(p *process) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Contains(m.faulted, p)
+}
--- a/internal/cluster/network_conn_test.go
+++ b/internal/cluster/network_conn_test.go
@@ -68,6 +68,10 @@
 			return len(b), c.in.write(answer, n.latency(), false)
 		}
 	}
+	if n.dropsConnection != nil && c.dialled == "" && n.dropsConnection(c) {
+		_ = c.Close()
+		return 0, syscall.EPIPE
+	}
 	exempt := c.owner.exempt || c.peer.exempt
 	link := [2]string{c.owner.ip, c.peer.ip}
 	n.mu.Lock()
@@ -100,7 +104,18 @@
 	return len(b), nil
 }
 
+// CloseWrite tells the peer that nothing more comes.
+func (c *conn) CloseWrite() error {
+	c.out.close(io.EOF)
+	return nil
+}
+
+// Close resets the connection if there is something unread, as TCP does: the peer
+// may lose what it has not read yet.
 func (c *conn) Close() error {
+	if c.in.hasArrived() {
+		c.out.reset()
+	}
 	c.in.close(net.ErrClosed)
 	c.out.close(io.EOF)
 	n := c.owner.network
@@ -171,6 +186,28 @@
 	return nil
 }
 
+// reset loses what was not read, even after a close.
+func (p *pipe) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeErr = syscall.ECONNRESET
+	p.notifyLocked()
+}
+
+// hasUnread reports whether bytes were sent that the peer has not read.
+func (p *pipe) hasUnread() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.chunks) > 0
+}
+
+// hasArrived reports whether there is something to read.
+func (p *pipe) hasArrived() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.chunks) > 0 && !p.chunks[0].held && !p.chunks[0].arrivesAt.After(time.Now())
+}
+
 // release lets the bytes that were held arrive after a delay.
 func (p *pipe) release(delay time.Duration) {
 	p.mu.Lock()
--- a/internal/cluster/network_test.go
+++ b/internal/cluster/network_test.go
@@ -31,8 +31,11 @@
 	// interceptRequest, where it is set, sees each request before it is sent. It
 	// gives the bytes to send in its place, and an answer if it is not to be sent.
 	interceptRequest func(from *process, to string, b []byte) (out, answer []byte)
-	rewrite          func(b []byte) []byte   // changes what is written, if set
-	observe          func(c *conn, b []byte) // called with all that is written and not lost, if set
+	// dropsConnection, where it is set, sees each answer before it is sent, and says
+	// whether the connection is closed instead.
+	dropsConnection func(c *conn) bool
+	rewrite         func(b []byte) []byte   // changes what is written, if set
+	observe         func(c *conn, b []byte) // called with all that is written and not lost, if set
 }
 
 func newNetwork() *network {
--- a/internal/cluster/search_simulation_test.go
+++ b/internal/cluster/search_simulation_test.go
@@ -80,13 +80,7 @@
 // runSchedule runs one schedule and returns its first violation, nil without one.
 func runSchedule(t *testing.T, plan schedule, p plantedFault) (f *violation) {
 	t.Helper()
-	// Syncs are most of what a schedule costs, and a file in memory outlives all
-	// that is simulated here.
-	memory := "/dev/shm"
-	if _, err := os.Stat(memory); err != nil {
-		memory = ""
-	}
-	dir, err := os.MkdirTemp(memory, "search")
+	dir, err := os.MkdirTemp(memoryFolder(), "search")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,6 +111,16 @@
 	return f
 }
 
+// memoryFolder is where the disks of a search are: syncs are most of what a
+// schedule costs, and a file in memory outlives all that is simulated here.
+func memoryFolder() string {
+	const memory = "/dev/shm"
+	if _, err := os.Stat(memory); err != nil {
+		return ""
+	}
+	return memory
+}
+
 func newSimulation(t *testing.T, dir string, plan schedule, p plantedFault) *simulation {
 	s := &simulation{
 		world: newWorld(t, dir, plan.HostFailures), schedule: plan, fault: p,
--- a/internal/cluster/signals_test.go
+++ b/internal/cluster/signals_test.go
@@ -4,15 +4,18 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 )
 
 // signalSource is the operating system of one simulated process, as far as its
 // signals go: one that nobody is registered for takes its default action.
 type signalSource struct {
-	defaultAction func() // ends the process
+	defaultAction  func() // ends the process
+	releasesHangup bool   // a planted fault: SIGHUP is given back with the first SIGTERM
 
 	mu         sync.Mutex
 	registered []signalRegistration
+	terminated bool // SIGTERM was sent
 }
 
 type signalRegistration struct {
@@ -45,4 +48,23 @@
 	if !handled {
 		go s.defaultAction()
 	}
+	if sent == syscall.SIGTERM {
+		s.terminated = true
+		if s.releasesHangup {
+			s.releaseLocked(syscall.SIGHUP)
+		}
+	}
+}
+
+func (s *signalSource) isTerminated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.terminated
+}
+
+// releaseLocked takes the default action for a signal from now on.
+func (s *signalSource) releaseLocked(released os.Signal) {
+	for i, r := range s.registered {
+		s.registered[i].signals = slices.DeleteFunc(slices.Clone(r.signals), func(o os.Signal) bool { return o == released })
+	}
 }
