--- /dev/null
+++ b/tools/planneddays/main.go
@@ -0,0 +1,158 @@
+// Command planneddays writes days for the bench: planned work of two kinds that
+// overlaps, at any time from the start of the traffic to its end, for every pair of
+// kinds; with -fault one fault beside it. README.md says how to play them.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Times of a day, in seconds from the start of the traffic.
+const (
+	earliest     = 0.2
+	latest       = 30.0
+	pairsPerDay  = 2   // overlaps of one pair of kinds on one day
+	mostApart    = 3.0 // between the beginnings of the two
+	mostFromPair = 4.0 // between a pair and the fault beside it
+)
+
+// entry is one line of a day's plan or faults, but for its time.
+type entry struct {
+	name string // for the name of the day
+	line func(r *rand.Rand) string
+}
+
+// text is an entry without parameters that are drawn.
+func text(name, line string) entry {
+	return entry{name, func(*rand.Rand) string { return line }}
+}
+
+func between(r *rand.Rand, least, most float64) float64 { return least + r.Float64()*(most-least) }
+
+func pick(r *rand.Rand, from ...string) string { return from[r.IntN(len(from))] }
+
+// roll stops and starts the machines of a class in turn.
+func roll(class string) entry {
+	return entry{"roll-" + class, func(r *rand.Rand) string {
+		how := pick(r, "", "busy")
+		return fmt.Sprintf(`kind = "roll_term", on = %q, share = 1.0, x = %d.0, gap_s = %.2f, how = %q`, class, 1+r.IntN(2), between(r, 0.1, 1.2), how)
+	}}
+}
+
+// planned are the kinds of planned work.
+var planned = []entry{
+	roll("front"),
+	roll("store"),
+	roll("core"),
+	text("replace-core", `kind = "replace_core", how = "planned", x = 1.0`),
+	text("replace-store", `kind = "replace_core", on = "store", how = "planned", x = 1.0`),
+	{"configuration", func(r *rand.Rand) string {
+		return fmt.Sprintf(`kind = "config_change", how = %q`, pick(r, "route", "timeout", "tenant", "quota", "idle"))
+	}},
+	text("race", `kind = "config_race", count = 2, gap_s = 0.7`),
+	{"release", func(r *rand.Rand) string {
+		return fmt.Sprintf(`kind = "release", share = 0.5, x = %d.0, gap_s = %.2f`, 1+r.IntN(4), between(r, 0.3, 1.2))
+	}},
+	text("scale-in", `kind = "scale_in", share = 0.2`),
+	text("add-stores", `kind = "add_nodes", on = "store", count = 1`),
+	text("add-edges", `kind = "add_nodes", on = "front", count = 2`),
+	text("retire", `kind = "retire", for_s = 8.0, how = ""`),
+	text("revoke", `kind = "revoke", count = 1`),
+	text("hup", `kind = "hup", share = 1.0, gap_s = 2.0`),
+}
+
+// faults are what may come beside planned work.
+var faults = []entry{
+	text("kill-store", `kind = "node_kill", on = "store", count = 1, for_s = 2.0, how = ""`),
+	text("power-store", `kind = "node_kill", on = "store", count = 1, for_s = 2.0, how = "power"`),
+	text("kill-core", `kind = "node_kill", on = "core", count = 1, for_s = 2.0, how = "leader"`),
+	text("kill-edges", `kind = "node_kill", on = "front", count = 2, for_s = 2.0, how = ""`),
+	text("freeze-store", `kind = "node_freeze", on = "store", count = 1, for_s = 3.0`),
+	text("full-disk", `kind = "disk_full", on = "store", count = 1, for_s = 4.0`),
+	text("stalled-disk", `kind = "disk_stall", on = "store", count = 1, for_s = 3.0`),
+	text("slow-disk", `kind = "disk_slow", on = "store", count = 1, x = 25.0, for_s = 4.0`),
+	text("accept-then-kill", `kind = "after_ack_kill", on = "store", count = 1, for_s = 2.0, how = "taken"`),
+	text("accept-then-wipe", `kind = "after_ack_wipe", on = "store", count = 1, for_s = 2.0, how = "taken"`),
+	text("cut-store", `kind = "core_cut", on = "store", count = 1, for_s = 4.0, how = ""`),
+	text("cut-core", `kind = "core_cut", count = 1, for_s = 4.0, how = ""`),
+}
+
+// day is one day for the bench.
+type day struct {
+	name         string
+	plan, faults []string
+}
+
+func (d *day) toml(seed int) string {
+	return fmt.Sprintf(`name = %q
+slot = "trouble"
+seed = %d
+one = 0.76
+zero = 0.41
+goal = { floor = 0.1 }
+labels = []
+plan = [
+%s]
+faults = [
+%s]
+`, d.name, seed, strings.Join(d.plan, ""), strings.Join(d.faults, ""))
+}
+
+func (e entry) at(r *rand.Rand, seconds float64) string {
+	return fmt.Sprintf("  { at = %.2f, %s },\n", min(max(seconds, earliest), latest), e.line(r))
+}
+
+// dayOf makes a day on which two kinds of planned work overlap.
+func dayOf(r *rand.Rand, a, b entry, withFault bool) day {
+	d := day{name: a.name + "-and-" + b.name}
+	for range pairsPerDay {
+		at := between(r, earliest, latest)
+		d.plan = append(d.plan, a.at(r, at), b.at(r, at+between(r, -mostApart, mostApart)))
+		if withFault && len(d.faults) == 0 {
+			fault := faults[r.IntN(len(faults))]
+			d.name += "-and-" + fault.name
+			d.faults = append(d.faults, fault.at(r, at+between(r, -mostFromPair, mostFromPair)))
+		}
+	}
+	return d
+}
+
+// writeDays writes a day for each pair of kinds, and returns how many.
+func writeDays(dir string, seed int, withFault bool) (int, error) {
+	r := rand.New(rand.NewPCG(uint64(seed), uint64(len(planned))))
+	n := 0
+	for i, a := range planned {
+		for _, b := range planned[i:] {
+			d := dayOf(r, a, b, withFault)
+			path := filepath.Join(dir, fmt.Sprintf("%d-%s.toml", seed, d.name))
+			if err := os.WriteFile(path, []byte(d.toml(seed)), 0o600); err != nil {
+				return n, err
+			}
+			n++
+		}
+	}
+	return n, nil
+}
+
+func main() {
+	log.SetFlags(0)
+	seed := flag.Int("seed", 1, "what the times and parameters are drawn from")
+	dir := flag.String("dir", "", "the folder to write the days to; it must exist")
+	withFault := flag.Bool("fault", false, "add one fault to each day")
+	flag.Parse()
+	if *dir == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	n, err := writeDays(*dir, *seed, *withFault)
+	if err != nil {
+		log.Fatalf("after %d days: %v", n, err)
+	}
+	fmt.Printf("%d days are in %s\n", n, *dir)
+}
