partition: the size of the file is measured without the lock

Cause: a file that is written anew after a failed write may hold the measurement up, and it was taken under the lock of all partitions. Change: measured before.

--- a/internal/partition/accept_test.go
+++ b/internal/partition/accept_test.go
@@ -34,7 +34,7 @@
 	}
 	m.config.MaxMemory = 1
 	m.usage.memoryBytes = 2
-	m.measureUsageLocked()
+	m.measureUsageLocked(0)
 	m.mu.Unlock()
 	if err := m.Accept(t.Context(), 0, &Record{ID: "y"}); !errors.Is(err, ErrStoreFull) || StatusCode(err) != 503 {
 		t.Errorf("a full store: %v", err)
--- a/internal/partition/maintenance.go
+++ b/internal/partition/maintenance.go
@@ -16,9 +16,10 @@
 	return maxDisk > 0 && diskBytes > maxDisk || maxMemory > 0 && u.memoryBytes > maxMemory
 }
 
-// measureUsageLocked decides whether the store is full.
-func (m *Manager) measureUsageLocked() {
-	diskBytes := m.storage.usedBytes()
+// measureUsageLocked decides whether the store is full, given the bytes in use on
+// disk. They are measured without the lock, since a file that is written anew after
+// a failed write may hold the measurement up.
+func (m *Manager) measureUsageLocked(diskBytes int64) {
 	full := m.usage.exceeds(diskBytes, m.config.MaxDisk, m.config.MaxMemory)
 	if full != m.usage.full {
 		m.config.Log.Printf("store: full: %v, %d MB on disk, %d MB in memory", full, diskBytes>>20, m.usage.memoryBytes>>20)
@@ -38,8 +39,9 @@
 		case <-ticker.C:
 		}
 		now := m.Now()
+		diskBytes := m.storage.usedBytes()
 		m.mu.Lock()
-		m.measureUsageLocked()
+		m.measureUsageLocked(diskBytes)
 		for _, p := range m.partitions {
 			if m.leadsLocked(p) {
 				m.deleteExpiredLocked(p, now)
