--- a/cmd/saltreel-control/orders.go
+++ b/cmd/saltreel-control/orders.go
@@ -141,15 +141,11 @@
 // awaitRetired waits until a store holds no replica any more.
 func awaitRetired(ctx context.Context, c *operator.Client, store string, timeout time.Duration) error {
 	for deadline := time.Now().Add(timeout); ; time.Sleep(retirePollInterval) {
-		raw, err := c.Get(ctx, "/v1/retire/"+store)
+		state, err := c.RetireState(ctx, store)
 		if err != nil {
 			return err
 		}
-		var status operator.RetireStatus
-		if err := json.Unmarshal(raw, &status); err != nil {
-			return err
-		}
-		if status.State == placement.RetireComplete {
+		if state == placement.RetireComplete {
 			return nil
 		}
 		if time.Now().After(deadline) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -133,3 +134,17 @@
 	}
 	return err
 }
+
+// RetireState returns how far the emptying of a store is: placement.RetireActive
+// or RetireComplete.
+func (c *Client) RetireState(ctx context.Context, store string) (string, error) {
+	raw, err := c.Get(ctx, retirePath+url.PathEscape(store))
+	if err != nil {
+		return "", err
+	}
+	var status RetireStatus
+	if err := json.Unmarshal(raw, &status); err != nil {
+		return "", fmt.Errorf("read the state of %s: %w", store, err)
+	}
+	return status.State, nil
+}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -31,6 +32,7 @@
 	location string   // of a redirect
 	attempts []string // the address of each
 	bodies   []string
+	targets  []string
 }
 
 func (f *fakeControlPlane) dial(_ context.Context, address string) (net.Conn, error) {
@@ -54,6 +56,7 @@
 	if err != nil {
 		f.t.Errorf("read the body: %v", err)
 	}
+	f.targets = append(f.targets, r.RequestURI)
 	f.bodies = append(f.bodies, string(body)+" on "+r.Header.Get("If-Match"))
 	if answer == answerLost {
 		return
@@ -103,3 +106,19 @@
 		})
 	}
 }
+
+func TestNameOfAStoreIsEscapedInOrdersAndQuestions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeControlPlane{t: t, answers: []int{200}}
+		c := &Client{Pool: &httpwire.Pool{Network: httpwire.Network{Dial: f.dial}}, Controls: []string{"a:82"}, Timeout: time.Second}
+		if err := c.Retire(context.Background(), "a/b c", time.Second); err != nil {
+			t.Error(err)
+		}
+		if _, err := c.RetireState(context.Background(), "a/b c"); err != nil {
+			t.Error(err)
+		}
+		if want := []string{"/v1/retire/a%2Fb%20c", "/v1/retire/a%2Fb%20c"}; !slices.Equal(f.targets, want) {
+			t.Errorf("asked for %q, not %q", f.targets, want)
+		}
+	})
+}
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -61,8 +61,9 @@
 	}
 	orders := &Server{Core: core}
 	server := &httpwire.Server{
-		Handle: core.ServeControl(orders.Handle),
-		Limits: func() httpwire.Limits { return listenerLimits(set) },
+		Handle:     core.ServeControl(orders.Handle),
+		Limits:     func() httpwire.Limits { return listenerLimits(set) },
+		AnswerTime: answerTimeout(set),
 	}
 	// The core goes on after ctx ends, until the listener has shut down.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -110,6 +111,12 @@
 	return settings.Seconds(set.Timers.GraceS) / 8
 }
 
+// answerTimeout is how long the answers may take to those that did not end in that
+// time.
+func answerTimeout(set *settings.Settings) time.Duration {
+	return settings.Seconds(set.Timers.GraceS) / 16
+}
+
 // coreStopTimeout is how long the core may take to stop after that.
 func coreStopTimeout(set *settings.Settings) time.Duration {
 	return settings.Seconds(set.Timers.GraceS) / 4
--- a/internal/platform/command.go
+++ b/internal/platform/command.go
@@ -11,6 +11,8 @@
 	"log"
 	"os"
 	"os/signal"
+	"slices"
+	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -73,6 +75,9 @@
 	cmd := &cobra.Command{
 		Use: "check FILE", Short: "Check a settings file without starting anything", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if role != "" && !slices.Contains(roles, role) {
+				return fmt.Errorf("there is no role %q; the roles are %s", role, strings.Join(roles, ", "))
+			}
 			set, err := settings.Load(args[0])
 			if err == nil && role != "" {
 				err = set.Require(role)
--- a/internal/platform/command_test.go
+++ b/internal/platform/command_test.go
@@ -60,6 +60,7 @@
 		{"check of wrong settings", []string{"check", wrong}, "", nil, nil, ExitSettings},
 		{"check for a role", []string{"check", "--role", "store", store}, "", nil, nil, 0},
 		{"check for a role that needs more", []string{"check", "--role", "store", valid}, "", nil, nil, ExitSettings},
+		{"check for a role that does not exist", []string{"check", "--role", "shop", store}, "", nil, nil, ExitFailure},
 		{"check of no file", []string{"check", valid + "-none"}, "", nil, nil, ExitSettings},
 		{"unknown command", []string{"nosuch"}, "", nil, nil, ExitFailure},
 		{"run", []string{"store"}, store, nil, nil, 0},
