--- a/internal/platform/lifecycle_test.go
+++ b/internal/platform/lifecycle_test.go
@@ -39,6 +39,12 @@
 	p.reloads = append(p.reloads, set.Zone)
 }
 
+func (p *recordedProcess) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 func (p *recordedProcess) reloadCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,11 +114,11 @@
 		l.signals <- syscall.SIGHUP
 		l.signals <- syscall.SIGTERM
 		synctest.Wait()
-		if process.ended {
+		if process.hasEnded() {
 			t.Error("the process ended before it has drained")
 		}
-		if err := <-ended; err != nil || !process.ended {
-			t.Errorf("ended with %v, drained %v", err, process.ended)
+		if err := <-ended; err != nil || !process.hasEnded() {
+			t.Errorf("ended with %v, drained %v", err, process.hasEnded())
 		}
 		if want := []string{"starting", "running"}; len(process.reloads) != 2 || process.reloads[0] != want[0] || process.reloads[1] != want[1] {
 			t.Errorf("settings applied: %q, not %q", process.reloads, want)
@@ -147,7 +153,7 @@
 			if took := time.Since(began) - time.Second; took > c.most {
 				t.Errorf("%s: ended %v after it was stopped", name, took)
 			}
-			if p, ok := c.process.(*recordedProcess); ok && !p.ended {
+			if p, ok := c.process.(*recordedProcess); ok && !p.hasEnded() {
 				t.Errorf("%s: the process did not end in order", name)
 			}
 			time.Sleep(c.takes) // for the start that was given up
