--- a/internal/cluster/message_search_checks_test.go
+++ b/internal/cluster/message_search_checks_test.go
@@ -167,6 +167,18 @@
 	t.accepted = append(t.accepted, a)
 }
 
+func (t *messageTraffic) acceptedCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.accepted)
+}
+
+func (t *messageTraffic) lastAccepted() acceptedMessage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accepted[len(t.accepted)-1]
+}
+
 // clientAnswer is what a client read; its status is 0 without a complete answer.
 type clientAnswer struct {
 	status     int
--- a/internal/cluster/message_search_run_test.go
+++ b/internal/cluster/message_search_run_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +36,7 @@
 	coreTurn  chan struct{}
 	edgeTurn  map[string]chan struct{} // by name
 	orderTurn chan struct{}            // of changes of the configuration
+	killTurn  chan struct{}            // of kills, each of which waits for the whole bubble
 
 	mu        sync.Mutex
 	spares    []string // names of the machines that may replace a core
@@ -46,7 +49,7 @@
 func newMaintenance(t *testing.T, dir string, plan maintenancePlan, fault maintenanceFault) *maintenance {
 	m := &maintenance{
 		world: newWorld(t, dir, 1, "10.1.0.1", "10.2.0.1", "10.3.0.1"), plan: plan, fault: fault,
-		storeTurn: make(chan struct{}, 1), coreTurn: make(chan struct{}, 1), orderTurn: make(chan struct{}, 1),
+		storeTurn: make(chan struct{}, 1), coreTurn: make(chan struct{}, 1), orderTurn: make(chan struct{}, 1), killTurn: make(chan struct{}, 1),
 		edgeTurn: map[string]chan struct{}{},
 	}
 	w := m.world
@@ -123,15 +126,105 @@
 		m.inTurn(m.storeTurn, func() { m.kill("store-"+zone, s.lasts, true) })
 	case killCore:
 		m.inTurn(m.coreTurn, func() { m.kill(m.runningCore(s.machine), s.lasts, false) })
+	case killAllAtOnce:
+		m.inTurn(m.storeTurn, func() { m.inTurn(m.coreTurn, m.killAll) })
+	case killAfterTaken:
+		m.inTurn(m.storeTurn, func() { m.kill(m.storeThatAccepts(), s.lasts, true) })
+	case resetOfStore:
+		for name := range m.world.machines {
+			m.world.network.reset(m.world.machines["store-"+zone].ip, m.world.machines[name].ip)
+		}
+	default:
+		m.inTurn(m.storeTurn, func() { m.cut(s, "store-"+zone) })
+	}
+}
+
+// cut keeps a store for a while from those that the kind of the step says.
+func (m *maintenance) cut(s maintenanceStep, name string) {
+	ip, n := m.world.machines[name].ip, m.world.network
+	peers := m.peersOf(s.kind, name)
+	switch s.kind {
 	case isolateStore:
-		m.inTurn(m.storeTurn, func() {
-			ip := m.world.machines["store-"+zone].ip
-			m.world.network.isolate(ip, true)
-			time.Sleep(s.lasts)
-			m.world.network.isolate(ip, false)
-			time.Sleep(recoveryTime)
-		})
+		n.isolate(ip, true)
+		time.Sleep(s.lasts)
+		n.isolate(ip, false)
+	case freezeStore:
+		for _, peer := range peers {
+			n.hold(ip, peer)
+			n.hold(peer, ip)
+		}
+		time.Sleep(s.lasts)
+		for _, peer := range peers {
+			n.release(ip, peer)
+			n.release(peer, ip)
+		}
+	default:
+		n.setBlocked([]string{ip}, peers, true)
+		n.setBlocked(peers, []string{ip}, true)
+		time.Sleep(s.lasts)
+		n.setBlocked([]string{ip}, peers, false)
+		n.setBlocked(peers, []string{ip}, false)
 	}
+	time.Sleep(recoveryTime)
+}
+
+// peersOf is the addresses that a cut keeps a store from.
+func (m *maintenance) peersOf(kind maintenanceKind, name string) (peers []string) {
+	for _, other := range m.world.machines {
+		wanted := kind == freezeStore || kind == cutFromCores && other.role == "core" || kind == cutFromStores && other.role == "store"
+		if other.ip != "" && other.name != name && wanted {
+			peers = append(peers, other.ip)
+		}
+	}
+	return peers
+}
+
+// killAll crashes all stores and cores at one moment; they come back with their
+// disks within a second.
+func (m *maintenance) killAll() {
+	var names []string
+	for _, z := range zones {
+		names = append(names, "store-"+z)
+	}
+	for _, c := range m.coreMachines() {
+		names = append(names, c.name)
+	}
+	for _, name := range names {
+		m.noteFaulted(name)
+		m.world.processOf(name).kill()
+	}
+	m.inTurn(m.killTurn, func() {
+		for _, name := range names {
+			m.world.killMachine(name)
+		}
+	})
+	time.Sleep(restartDelay)
+	for _, name := range names {
+		m.world.startMachine(name, false)
+	}
+	time.Sleep(recoveryTime)
+}
+
+// storeThatAccepts waits until a message was accepted, and is the store that leads
+// its partition.
+func (m *maintenance) storeThatAccepts() string {
+	before := m.traffic.acceptedCount()
+	for m.traffic.acceptedCount() == before && time.Since(m.traffic.startedAt) < time.Hour {
+		time.Sleep(time.Millisecond)
+	}
+	number, _, _ := strings.Cut(m.traffic.lastAccepted().name, ".")
+	status, err := m.world.status()
+	partition, numberErr := strconv.Atoi(number)
+	if err != nil || numberErr != nil || partition >= len(status.Placement.Partitions) {
+		return "store-" + zones[0]
+	}
+	return status.Placement.Partitions[partition].Primary
+}
+
+func (m *maintenance) noteFaulted(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faulted = append(m.faulted, m.world.processOf(name))
 }
 
 func (m *maintenance) inTurn(turn chan struct{}, do func()) {
@@ -167,10 +260,8 @@
 // kill crashes a machine; it comes back later, with an empty disk if it is wiped.
 func (m *maintenance) kill(name string, lasts time.Duration, wiped bool) {
 	w := m.world
-	m.mu.Lock()
-	m.faulted = append(m.faulted, w.processOf(name))
-	m.mu.Unlock()
-	w.killMachine(name)
+	m.noteFaulted(name)
+	m.inTurn(m.killTurn, func() { w.killMachine(name) })
 	if wiped {
 		w.wipeDisk(name)
 	}
--- a/internal/cluster/message_search_test.go
+++ b/internal/cluster/message_search_test.go
@@ -88,6 +88,12 @@
 	killCore
 	isolateStore
 	wipeStore
+	freezeStore    // it runs, and what it sends and receives arrives late
+	cutFromCores   // a store, both ways
+	cutFromStores  // a store, both ways
+	resetOfStore   // its connections
+	killAllAtOnce  // all stores and cores, which come back within a second
+	killAfterTaken // the primary that has just accepted a message
 	endOfKinds
 )
 
@@ -96,6 +102,8 @@
 		rollEdge: "roll an edge", rollStore: "roll a store", rollCore: "roll a core", hangUp: "hang up", changeSettings: "change the settings",
 		replaceCore: "replace a core", replaceCoreDuringRolls: "replace a core while all edges are rolled", changeConfiguration: "change the configuration",
 		killEdge: "kill an edge", killStore: "kill a store", killCore: "kill a core", isolateStore: "isolate a store", wipeStore: "wipe a store",
+		freezeStore: "freeze a store", cutFromCores: "cut a store from the cores", cutFromStores: "cut a store from the stores",
+		resetOfStore: "reset the connections of a store", killAllAtOnce: "kill all stores and cores", killAfterTaken: "wipe a store that accepts",
 	}[k]
 }
 
