--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -210,7 +210,7 @@
 func (w *world) start(m *machine, bootstrap bool, ended func(error)) {
 	w.t.Helper()
 	p := &process{network: w.network, ip: m.ip}
-	signals := &signalSource{defaultAction: p.kill, releasesHangup: w.plantedRelease}
+	signals := &signalSource{defaultAction: p.kill, releasesSIGHUP: w.plantedRelease}
 	done := make(chan struct{})
 	w.mu.Lock()
 	m.process = p
--- a/internal/cluster/message_search_checks_test.go
+++ b/internal/cluster/message_search_checks_test.go
@@ -35,8 +35,6 @@
 	questionAge      = 2 * time.Second // younger messages may be unknown at other edges
 )
 
-func t0() context.Context { return context.Background() }
-
 // acceptedMessage is a message that was answered with 202.
 type acceptedMessage struct {
 	id, name, body string
@@ -96,8 +94,8 @@
 	t.clients.Wait()
 }
 
-// pause waits, and reports whether the traffic goes on.
-func (t *messageTraffic) pause(d time.Duration) bool {
+// waitUnlessStopped waits, and reports whether the traffic goes on.
+func (t *messageTraffic) waitUnlessStopped(d time.Duration) bool {
 	select {
 	case <-t.stopped:
 		return false
@@ -107,7 +105,7 @@
 }
 
 func (t *messageTraffic) sendPlainMessages() {
-	for n := 0; t.pause(messageInterval); n++ {
+	for n := 0; t.waitUnlessStopped(messageInterval); n++ {
 		var header []string
 		if n%5 == 0 {
 			header = []string{"Saltreel-Delay-Ms", "1500"}
@@ -118,7 +116,7 @@
 
 // sendOrderedMessages sends the messages of one order key one after another.
 func (t *messageTraffic) sendOrderedMessages(key string) {
-	for n := 0; t.pause(4 * messageInterval); n++ {
+	for n := 0; t.waitUnlessStopped(4 * messageInterval); n++ {
 		id := fmt.Sprintf("%s-%d", key, n)
 		if t.sendUntilClear(id, "/ordered/x", n, "Saltreel-Order-Key", key) {
 			t.mu.Lock()
@@ -191,7 +189,7 @@
 	m := t.maintenance
 	w := m.world
 	edge := w.processOf("edge-" + zone)
-	ctx, cancel := context.WithTimeout(t0(), answerLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
 	defer cancel()
 	dialled, err := w.clientProcess.dial(ctx, edge.ip+":80")
 	if err != nil {
@@ -219,7 +217,7 @@
 
 // askAboutMessages asks any edge about messages that were accepted a while ago.
 func (t *messageTraffic) askAboutMessages() {
-	for t.pause(questionInterval) {
+	for t.waitUnlessStopped(questionInterval) {
 		t.mu.Lock()
 		var asked *acceptedMessage
 		if len(t.accepted) > 0 {
--- a/internal/cluster/message_search_planted_faults_test.go
+++ b/internal/cluster/message_search_planted_faults_test.go
@@ -13,7 +13,7 @@
 		class string
 		seeds []int // that find it
 	}{
-		"SIGHUP ends a process that drains":   {maintenanceFault{releasesHangup: true}, "unanswered", []int{1, 3, 5}},
+		"SIGHUP ends a process that drains":   {maintenanceFault{releasesSIGHUP: true}, "unanswered", []int{1, 3, 5}},
 		"a shutdown closes without an answer": {maintenanceFault{closesUnanswered: true}, "unanswered", []int{1, 3, 5}},
 		"a record is on no store":             {maintenanceFault{dropsRecords: true}, "lost", []int{1, 3, 5}},
 	} {
--- a/internal/cluster/message_search_run_test.go
+++ b/internal/cluster/message_search_run_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strconv"
@@ -16,8 +17,8 @@
 	restartDelay = 500 * time.Millisecond
 	// recoveryTime is how long a store or a core counts as lost after it is back.
 	recoveryTime = 4300 * time.Millisecond
-	// settleTime is the calm between the last step and the end of the traffic.
-	settleTime = 6 * time.Second
+	// calmTime is the calm between the last step and the end of the traffic.
+	calmTime = 6 * time.Second
 	// gracePeriod is that of the settings, after which the platform kills.
 	gracePeriod = 6 * time.Second
 )
@@ -32,11 +33,11 @@
 
 	// One store and one core is lost at a time: that many the cluster tolerates.
 	// Channels and not mutexes, which stop the clock of the bubble.
-	storeTurn chan struct{}
-	coreTurn  chan struct{}
-	edgeTurn  map[string]chan struct{} // by name
-	orderTurn chan struct{}            // of changes of the configuration
-	killTurn  chan struct{}            // of kills, each of which waits for the whole bubble
+	storeSemaphore         chan struct{}
+	coreSemaphore          chan struct{}
+	edgeSemaphores         map[string]chan struct{} // by name
+	configurationSemaphore chan struct{}            // of changes of the configuration
+	killSemaphore          chan struct{}            // of kills, each of which waits for the whole bubble
 
 	mu        sync.Mutex
 	spares    []string // names of the machines that may replace a core
@@ -49,17 +50,17 @@
 func newMaintenance(t *testing.T, dir string, plan maintenancePlan, fault maintenanceFault) *maintenance {
 	m := &maintenance{
 		world: newWorld(t, dir, 1, "10.1.0.1", "10.2.0.1", "10.3.0.1"), plan: plan, fault: fault,
-		storeTurn: make(chan struct{}, 1), coreTurn: make(chan struct{}, 1), orderTurn: make(chan struct{}, 1), killTurn: make(chan struct{}, 1),
-		edgeTurn: map[string]chan struct{}{},
+		storeSemaphore: make(chan struct{}, 1), coreSemaphore: make(chan struct{}, 1), configurationSemaphore: make(chan struct{}, 1), killSemaphore: make(chan struct{}, 1),
+		edgeSemaphores: map[string]chan struct{}{},
 	}
 	w := m.world
-	w.plantedRelease = fault.releasesHangup
+	w.plantedRelease = fault.releasesSIGHUP
 	for i, z := range zones {
 		spare := "core-spare-" + z
 		w.machines[spare] = &machine{name: spare, role: "core", zone: z, ip: fmt.Sprintf("10.%d.0.4", i+1), dataPath: dir + "/" + spare, cancel: func() {}}
 		m.spares = append(m.spares, spare)
 		m.cores = append(m.cores, "core-"+z)
-		m.edgeTurn["edge-"+z] = make(chan struct{}, 1)
+		m.edgeSemaphores["edge-"+z] = make(chan struct{}, 1)
 		for j, role := range []string{"core", "store", "edge"} {
 			w.addMachine(role+"-"+z, role, z, fmt.Sprintf("10.%d.0.%d", i+1, j+1), true)
 		}
@@ -82,7 +83,7 @@
 		m.tasks.Go(func() { m.perform(s) })
 	}
 	m.tasks.Wait()
-	time.Sleep(settleTime)
+	time.Sleep(calmTime)
 	m.traffic.stop()
 	m.traffic.checkEnd()
 }
@@ -93,23 +94,23 @@
 	case rollEdge:
 		m.rollEdge("edge-" + zone)
 	case rollStore:
-		m.inTurn(m.storeTurn, func() { m.roll("store-" + zone) })
+		m.withSemaphore(m.storeSemaphore, func() { m.roll("store-" + zone) })
 	case rollCore:
-		m.inTurn(m.coreTurn, func() { m.roll(m.runningCore(s.machine)) })
-	case hangUp:
-		m.signalAll(syscall.SIGHUP)
+		m.withSemaphore(m.coreSemaphore, func() { m.roll(m.runningCore(s.machine)) })
+	case reload:
+		m.reloadAll()
 	case changeSettings:
 		m.world.changeSettings()
-		m.signalAll(syscall.SIGHUP)
+		m.reloadAll()
 	case replaceCore:
-		m.inTurn(m.coreTurn, func() { m.replaceCore(s.machine) })
+		m.withSemaphore(m.coreSemaphore, func() { m.replaceCore(s.machine) })
 	case replaceCoreDuringRolls:
-		m.tasks.Go(func() { m.inTurn(m.coreTurn, func() { m.replaceCore(s.machine) }) })
+		m.tasks.Go(func() { m.withSemaphore(m.coreSemaphore, func() { m.replaceCore(s.machine) }) })
 		for _, z := range zones {
 			m.rollEdge("edge-" + z)
 		}
 	case changeConfiguration:
-		m.inTurn(m.orderTurn, func() { m.changeConfiguration(s) })
+		m.withSemaphore(m.configurationSemaphore, func() { m.changeConfiguration(s) })
 	default:
 		m.injectFault(s, zone)
 	}
@@ -119,23 +120,23 @@
 func (m *maintenance) injectFault(s maintenanceStep, zone string) {
 	switch s.kind {
 	case killEdge:
-		m.inTurn(m.edgeTurn["edge-"+zone], func() { m.kill("edge-"+zone, s.lasts, false) })
+		m.withSemaphore(m.edgeSemaphores["edge-"+zone], func() { m.kill("edge-"+zone, s.lasts, false) })
 	case killStore:
-		m.inTurn(m.storeTurn, func() { m.kill("store-"+zone, s.lasts, false) })
+		m.withSemaphore(m.storeSemaphore, func() { m.kill("store-"+zone, s.lasts, false) })
 	case wipeStore:
-		m.inTurn(m.storeTurn, func() { m.kill("store-"+zone, s.lasts, true) })
+		m.withSemaphore(m.storeSemaphore, func() { m.kill("store-"+zone, s.lasts, true) })
 	case killCore:
-		m.inTurn(m.coreTurn, func() { m.kill(m.runningCore(s.machine), s.lasts, false) })
+		m.withSemaphore(m.coreSemaphore, func() { m.kill(m.runningCore(s.machine), s.lasts, false) })
 	case killAllAtOnce:
-		m.inTurn(m.storeTurn, func() { m.inTurn(m.coreTurn, m.killAll) })
-	case killAfterTaken:
-		m.inTurn(m.storeTurn, func() { m.kill(m.storeThatAccepts(), s.lasts, true) })
+		m.withSemaphore(m.storeSemaphore, func() { m.withSemaphore(m.coreSemaphore, m.killAll) })
+	case wipeAfterAccept:
+		m.withSemaphore(m.storeSemaphore, func() { m.kill(m.storeThatAccepts(), s.lasts, true) })
 	case resetOfStore:
 		for name := range m.world.machines {
 			m.world.network.reset(m.world.machines["store-"+zone].ip, m.world.machines[name].ip)
 		}
 	default:
-		m.inTurn(m.storeTurn, func() { m.cut(s, "store-"+zone) })
+		m.withSemaphore(m.storeSemaphore, func() { m.cut(s, "store-"+zone) })
 	}
 }
 
@@ -193,7 +194,7 @@
 		m.noteFaulted(name)
 		m.world.processOf(name).kill()
 	}
-	m.inTurn(m.killTurn, func() {
+	m.withSemaphore(m.killSemaphore, func() {
 		for _, name := range names {
 			m.world.killMachine(name)
 		}
@@ -227,14 +228,14 @@
 	m.faulted = append(m.faulted, m.world.processOf(name))
 }
 
-func (m *maintenance) inTurn(turn chan struct{}, do func()) {
-	turn <- struct{}{}
-	defer func() { <-turn }()
+func (m *maintenance) withSemaphore(semaphore chan struct{}, do func()) {
+	semaphore <- struct{}{}
+	defer func() { <-semaphore }()
 	do()
 }
 
 func (m *maintenance) rollEdge(name string) {
-	m.inTurn(m.edgeTurn[name], func() {
+	m.withSemaphore(m.edgeSemaphores[name], func() {
 		m.terminate(name)
 		time.Sleep(restartDelay)
 		m.world.startMachine(name, false)
@@ -261,7 +262,7 @@
 func (m *maintenance) kill(name string, lasts time.Duration, wiped bool) {
 	w := m.world
 	m.noteFaulted(name)
-	m.inTurn(m.killTurn, func() { w.killMachine(name) })
+	m.withSemaphore(m.killSemaphore, func() { w.killMachine(name) })
 	if wiped {
 		w.wipeDisk(name)
 	}
@@ -295,9 +296,9 @@
 	w.startMachine(spare, false)
 	time.Sleep(recoveryTime)
 	w.setCoreAddresses(m.coreMachines())
-	m.signalAll(syscall.SIGHUP)
+	m.reloadAll()
 	m.terminate(old)
-	m.signalAll(syscall.SIGHUP)
+	m.reloadAll()
 	time.Sleep(recoveryTime)
 }
 
@@ -310,9 +311,10 @@
 	return machines
 }
 
-func (m *maintenance) signalAll(s syscall.Signal) {
+// reloadAll gives all processes SIGHUP.
+func (m *maintenance) reloadAll() {
 	for name := range m.world.machines {
-		m.world.signal(name, s)
+		m.world.signal(name, syscall.SIGHUP)
 	}
 }
 
@@ -322,7 +324,7 @@
 	revision := w.revision + 1
 	raw := w.configuration(revision, options{retentionSeconds: 90 + float64(s.machine)})
 	for range 40 {
-		if w.operator().PutConfiguration(t0(), raw, int64(w.revision)) == nil {
+		if w.operator().PutConfiguration(context.Background(), raw, int64(w.revision)) == nil {
 			w.revision = revision
 			return
 		}
--- a/internal/cluster/message_search_test.go
+++ b/internal/cluster/message_search_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"runtime"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,24 +33,8 @@
 		return
 	}
 	began := time.Now()
-	var next, failed atomic.Int64
-	t.Run("seeds", func(t *testing.T) {
-		for worker := range runtime.GOMAXPROCS(0) {
-			t.Run(fmt.Sprint(worker), func(t *testing.T) {
-				t.Parallel()
-				for {
-					n := int(next.Add(1)) - 1
-					if *messageSearchFor > 0 && time.Since(began) > *messageSearchFor || *messageSearchFor == 0 && n >= *messageSearchCount {
-						return
-					}
-					if !checkMaintenanceSeed(t, *messageSearchFirst+n) {
-						failed.Add(1)
-					}
-				}
-			})
-		}
-	})
-	t.Logf("%d schedules in %v, %d failed", next.Load()-int64(runtime.GOMAXPROCS(0)), time.Since(began).Round(time.Second), failed.Load())
+	executed, failed := runSeeds(t, *messageSearchFirst, *messageSearchCount, *messageSearchFor, checkMaintenanceSeed)
+	t.Logf("%d schedules in %v, %d failed", executed, time.Since(began).Round(time.Second), failed)
 }
 
 // checkMaintenanceSeed runs the schedule of a seed, and prints it if it fails.
@@ -74,7 +56,7 @@
 	rollEdge maintenanceKind = iota
 	rollStore
 	rollCore
-	hangUp                 // SIGHUP without a change
+	reload                 // SIGHUP without a change
 	changeSettings         // of all machines, with SIGHUP
 	replaceCore            // a new core first, then SIGTERM to an old one
 	replaceCoreDuringRolls // the same while all edges are rolled
@@ -88,22 +70,22 @@
 	killCore
 	isolateStore
 	wipeStore
-	freezeStore    // it runs, and what it sends and receives arrives late
-	cutFromCores   // a store, both ways
-	cutFromStores  // a store, both ways
-	resetOfStore   // its connections
-	killAllAtOnce  // all stores and cores, which come back within a second
-	killAfterTaken // the primary that has just accepted a message
+	freezeStore     // it runs, and what it sends and receives arrives late
+	cutFromCores    // a store, both ways
+	cutFromStores   // a store, both ways
+	resetOfStore    // its connections
+	killAllAtOnce   // all stores and cores, which come back within a second
+	wipeAfterAccept // the primary that has just accepted a message
 	endOfKinds
 )
 
 func (k maintenanceKind) String() string {
 	return map[maintenanceKind]string{
-		rollEdge: "roll an edge", rollStore: "roll a store", rollCore: "roll a core", hangUp: "hang up", changeSettings: "change the settings",
+		rollEdge: "roll an edge", rollStore: "roll a store", rollCore: "roll a core", reload: "SIGHUP", changeSettings: "change the settings",
 		replaceCore: "replace a core", replaceCoreDuringRolls: "replace a core while all edges are rolled", changeConfiguration: "change the configuration",
 		killEdge: "kill an edge", killStore: "kill a store", killCore: "kill a core", isolateStore: "isolate a store", wipeStore: "wipe a store",
 		freezeStore: "freeze a store", cutFromCores: "cut a store from the cores", cutFromStores: "cut a store from the stores",
-		resetOfStore: "reset the connections of a store", killAllAtOnce: "kill all stores and cores", killAfterTaken: "wipe a store that accepts",
+		resetOfStore: "reset the connections of a store", killAllAtOnce: "kill all stores and cores", wipeAfterAccept: "wipe a store that accepts",
 	}[k]
 }
 
@@ -157,7 +139,7 @@
 // maintenanceFault is a fault put in from outside, to see whether the search
 // finds it.
 type maintenanceFault struct {
-	releasesHangup   bool // SIGHUP gets its default action once SIGTERM has come
+	releasesSIGHUP   bool // SIGHUP gets its default action once SIGTERM has come
 	closesUnanswered bool // an edge that drains closes connections without an answer
 	dropsRecords     bool // some messages are accepted, and no store has them
 }
--- a/internal/cluster/search_test.go
+++ b/internal/cluster/search_test.go
@@ -49,27 +49,36 @@
 		return
 	}
 	began := time.Now()
-	var next, executed, failed atomic.Int64
+	executed, failed := runSeeds(t, *searchFirst, *searchCount, *searchFor, func(t *testing.T, seed int) bool { return checkSeed(t, seed, 1) })
+	totals.Lock()
+	defer totals.Unlock()
+	t.Logf("%d schedules in %v, %d failed; in them %v", executed, time.Since(began).Round(time.Second), failed, totals.n)
+}
+
+// runSeeds checks seeds in parallel: so many, or, with a duration, as many as
+// there is time for. It returns how many were checked and how many failed.
+func runSeeds(t *testing.T, first, count int, duration time.Duration, check func(t *testing.T, seed int) bool) (executed, failed int64) {
+	t.Helper()
+	began := time.Now()
+	var next, executions, failures atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
 		for worker := range runtime.GOMAXPROCS(0) {
 			t.Run(fmt.Sprint(worker), func(t *testing.T) {
 				t.Parallel()
 				for {
 					n := int(next.Add(1)) - 1
-					if *searchFor > 0 && time.Since(began) > *searchFor || *searchFor == 0 && n >= *searchCount {
+					if duration > 0 && time.Since(began) > duration || duration == 0 && n >= count {
 						return
 					}
-					if !checkSeed(t, *searchFirst+n, 1) {
-						failed.Add(1)
+					if !check(t, first+n) {
+						failures.Add(1)
 					}
-					executed.Add(1)
+					executions.Add(1)
 				}
 			})
 		}
 	})
-	totals.Lock()
-	defer totals.Unlock()
-	t.Logf("%d schedules in %v, %d failed; in them %v", executed.Load(), time.Since(began).Round(time.Second), failed.Load(), totals.n)
+	return executions.Load(), failures.Load()
 }
 
 // checkSeed runs the schedule of a seed; one that fails is shrunk and printed.
--- a/internal/cluster/signals_test.go
+++ b/internal/cluster/signals_test.go
@@ -11,7 +11,7 @@
 // signals go: one that nobody is registered for takes its default action.
 type signalSource struct {
 	defaultAction  func() // ends the process
-	releasesHangup bool   // a planted fault: SIGHUP is given back with the first SIGTERM
+	releasesSIGHUP bool   // a planted fault: SIGHUP is given back with the first SIGTERM
 
 	mu         sync.Mutex
 	registered []signalRegistration
@@ -50,7 +50,7 @@
 	}
 	if sent == syscall.SIGTERM {
 		s.terminated = true
-		if s.releasesHangup {
+		if s.releasesSIGHUP {
 			s.releaseLocked(syscall.SIGHUP)
 		}
 	}
