--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -195,38 +195,45 @@
 	if err != nil {
 		return fmt.Errorf("listen for our own processes: %w", err)
 	}
-	serving, stop := context.WithCancel(context.Background())
-	defer stop()
-	delivering, stopDeliveries := context.WithCancel(serving)
-	defer stopDeliveries()
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
 	server := &httpwire.Server{Handle: s.calls().Handle}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = server.Serve(serving, listener) })
 	tasks.Go(func() { s.node.Run(serving) })
 	tasks.Go(func() { s.deliveryBytes.Reap(serving) })
 	tasks.Go(func() { s.limiter.Run(serving) })
-	failed := make(chan error, 1)
-	tasks.Go(func() { failed <- s.partitions.Run(serving) })
-	delivered := make(chan struct{})
-	go func() {
-		defer close(delivered)
-		s.scheduler.Run(delivering)
-	}()
+	written := make(chan error, 1)
+	tasks.Go(func() { written <- s.partitions.Run(serving) })
+	delivering, stopDeliveries := context.WithCancel(serving)
+	defer stopDeliveries()
+	delivered := s.startDeliveries(delivering)
 	s.log.Printf("store: started, disk %s", s.partitions.DiskID())
 	select {
 	case <-ctx.Done():
 		s.drain()
-	case err = <-failed:
+	case err := <-written:
 		s.log.Printf("store: stopping: %v", err)
-		failed <- err
+		written <- err
 	}
 	stopDeliveries()
 	s.waitForDeliveries(delivered)
 	s.shutdown(server)
-	stop()
+	stopServing()
 	tasks.Wait()
 	s.log.Printf("store: ended")
-	return <-failed
+	return <-written
+}
+
+// startDeliveries delivers until ctx ends. The channel is closed when no delivery
+// is in flight any more, which may be later than the end of the process.
+func (s *Store) startDeliveries(ctx context.Context) (delivered <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.scheduler.Run(ctx)
+	}()
+	return done
 }
 
 // waitForDeliveries waits for the deliveries in flight, so that their outcomes
