--- a/internal/boltstore/database.go
+++ b/internal/boltstore/database.go
@@ -23,14 +23,9 @@
 	databaseMode          = 0o600
 )
 
-// OpenDatabase opens the database at path, or creates it, so that its directory
+// openDatabase opens the database at path, or creates it, so that its directory
 // entry survives a power failure. ErrDamaged says that the file can be read,
 // but is no valid database.
-func OpenDatabase(path string) (*bbolt.DB, error) {
-	database, _, err := openDatabase(path)
-	return database, err
-}
-
 func openDatabase(path string) (database *bbolt.DB, handle *os.File, err error) {
 	defer func() {
 		if err != nil {
