httpwire: each connection has its own context of handlers; settings: one log line per change

Readability and a log line: while a store waited for its disk, a changed settings file was logged at each look.

--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -26,6 +26,8 @@
 	hold     <-chan struct{} // nil: not held
 	draining chan struct{}   // closed when the server shuts down
 	users    map[string]bool // two at most
+
+	endHandlers context.CancelFunc // ends the context of its handlers; guarded by the server's lock
 }
 
 func newConn(s *Server, conn net.Conn) *Conn {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -45,15 +45,13 @@
 	// context ends; 0: defaultAnswerTime.
 	AnswerTime time.Duration
 
-	mu          sync.Mutex
-	conns       map[*Conn]bool // true while idle
-	closing     bool           // responses carry Connection: close
-	stopped     bool           // no connection is accepted, none becomes idle
-	readsEnd    time.Time      // no request is read for longer; zero: no bound
-	listener    net.Listener
-	handling    context.Context // of the handlers; nil before the first connection
-	endHandling context.CancelFunc
-	active      sync.WaitGroup // counts conns
+	mu       sync.Mutex
+	conns    map[*Conn]bool // true while idle
+	closing  bool           // responses carry Connection: close
+	stopped  bool           // no connection is accepted, none becomes idle
+	readsEnd time.Time      // no request is read for longer; zero: no bound
+	listener net.Listener
+	active   sync.WaitGroup // counts conns
 }
 
 // Serve accepts connections until the listener is closed. When ctx ends, it
@@ -117,26 +115,29 @@
 	return c
 }
 
-// handlerContext is the context of the handlers, which Shutdown may end before
-// that of Serve ends.
-func (s *Server) handlerContext(ctx context.Context) context.Context {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.handling == nil {
-		s.handling, s.endHandling = context.WithCancel(ctx)
-	}
-	return s.handling
-}
-
 func (s *Server) serveTracked(ctx context.Context, c *Conn) {
 	defer s.active.Done()
-	c.serve(s.handlerContext(ctx))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.setHandlersEnd(c, cancel)
+	c.serve(ctx)
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 	closeConnection(c)
 }
 
+// setHandlersEnd notes how to end the context of a connection's handlers, which
+// Shutdown may do before that of Serve ends.
+func (s *Server) setHandlersEnd(c *Conn, end context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.endHandlers = end
+	if !s.readsEnd.IsZero() {
+		end()
+	}
+}
+
 // StopKeepAlives lets every response from now on close its connection.
 func (s *Server) StopKeepAlives() {
 	s.mu.Lock()
@@ -204,11 +205,11 @@
 func (s *Server) endRequests() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.endHandling != nil {
-		s.endHandling()
-	}
 	s.readsEnd = time.Now()
 	for c := range s.conns {
+		if c.endHandlers != nil {
+			c.endHandlers()
+		}
 		c.interruptRead()
 	}
 }
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -146,6 +146,7 @@
 		l.applySettings()
 	case actionPostpone:
 		l.Log.Printf("platform: the settings are read again once started")
+		l.rememberSettings() // logged once for each change
 	case actionIgnoreReload:
 		l.Log.Printf("platform: the settings are not read again: the process is stopping")
 		l.rememberSettings() // logged once for each change
