--- /dev/null
+++ b/internal/cluster/message_search_traffic_test.go
@@ -0,0 +1,205 @@
+package cluster
+
+// The clients and handlers of the message search.
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	messageInterval  = 25 * time.Millisecond
+	questionInterval = 60 * time.Millisecond
+	clientDeadline   = 2 * time.Second
+	answerLimit      = 5 * time.Second
+	finalLimit       = 20 * time.Second // for each message that is due in the end
+	orderKeys        = 3
+	questionAge      = 2 * time.Second // younger messages may be unknown at other edges
+)
+
+// acceptedMessage is a message that was answered with 202.
+type acceptedMessage struct {
+	id, name, body string
+	at             time.Time
+}
+
+// messageTraffic is the clients of the message search, and what they were
+// answered.
+type messageTraffic struct {
+	maintenance *maintenance
+	plain       *service
+	ordered     *service
+	startedAt   time.Time
+	stopped     chan struct{}
+	clients     sync.WaitGroup
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	accepted []acceptedMessage
+	byKey    map[string][]string // identifiers, in the order of their acceptance
+}
+
+func newMessageTraffic(m *maintenance) *messageTraffic {
+	t := &messageTraffic{
+		maintenance: m, stopped: make(chan struct{}), startedAt: time.Now(),
+		rng: rand.New(rand.NewPCG(uint64(m.plan.seed), 2)), byKey: map[string][]string{},
+	}
+	t.plain = m.world.newService("plain", zones...)
+	t.ordered = m.world.newService("ordered", zones...)
+	t.plain.respond = t.respond
+	t.ordered.respond = t.respond
+	return t
+}
+
+// respond takes a while that differs between messages.
+func (t *messageTraffic) respond(delivery) (int, time.Duration) {
+	return http.StatusOK, time.Duration(1+t.random(40)) * time.Millisecond
+}
+
+func (t *messageTraffic) random(n int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rng.IntN(n)
+}
+
+func (t *messageTraffic) start() {
+	t.startedAt = time.Now()
+	t.clients.Go(t.sendPlainMessages)
+	t.clients.Go(t.askAboutMessages)
+	for k := range orderKeys {
+		t.clients.Go(func() { t.sendOrderedMessages(fmt.Sprint("key-", k)) })
+	}
+}
+
+func (t *messageTraffic) stop() {
+	close(t.stopped)
+	t.clients.Wait()
+}
+
+// waitUnlessStopped waits, and reports whether the traffic goes on.
+func (t *messageTraffic) waitUnlessStopped(d time.Duration) bool {
+	select {
+	case <-t.stopped:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (t *messageTraffic) sendPlainMessages() {
+	for n := 0; t.waitUnlessStopped(messageInterval); n++ {
+		var header []string
+		if n%5 == 0 {
+			header = []string{"Saltreel-Delay-Ms", "1500"}
+		}
+		t.clients.Go(func() { t.sendUntilClear(fmt.Sprint("plain-", n), "/plain/x", n, header...) })
+	}
+}
+
+// sendOrderedMessages sends the messages of one order key one after another.
+func (t *messageTraffic) sendOrderedMessages(key string) {
+	for n := 0; t.waitUnlessStopped(4 * messageInterval); n++ {
+		id := fmt.Sprintf("%s-%d", key, n)
+		if t.sendUntilClear(id, "/ordered/x", n, "Saltreel-Order-Key", key) {
+			t.mu.Lock()
+			t.byKey[key] = append(t.byKey[key], id)
+			t.mu.Unlock()
+		}
+	}
+}
+
+// sendUntilClear sends a message, under the same identifier, until it is accepted
+// or has certainly been rejected a few times, and reports whether it is accepted.
+func (t *messageTraffic) sendUntilClear(id, path string, first int, header ...string) bool {
+	rejected := 0
+	for try := 0; rejected < 3 && try < 20; try++ {
+		zone := zones[(first+try)%len(zones)]
+		body := strings.Repeat("body of "+id+" ", 1+t.random(30))
+		answer := t.request(zone, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: app.example\r\nSaltreel-Key: key-one\r\nSaltreel-Attempt-Id: %s\r\nSaltreel-Deadline-Ms: %d\r\nContent-Length: %d\r\n%s\r\n%s",
+			path, id, clientDeadline.Milliseconds(), len(body), headerLines(header), body))
+		switch answer.status {
+		case http.StatusAccepted:
+			// An earlier attempt, with another body, may be the one that was accepted.
+			t.noteAccepted(acceptedMessage{id: id, name: answer.name, at: time.Now()}, body, try == 0)
+			return true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			rejected++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+func headerLines(header []string) string {
+	lines := ""
+	for i := 0; i+1 < len(header); i += 2 {
+		lines += header[i] + ": " + header[i+1] + "\r\n"
+	}
+	return lines
+}
+
+func (t *messageTraffic) noteAccepted(a acceptedMessage, body string, known bool) {
+	if known {
+		a.body = body
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepted = append(t.accepted, a)
+}
+
+func (t *messageTraffic) acceptedCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.accepted)
+}
+
+func (t *messageTraffic) lastAccepted() acceptedMessage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accepted[len(t.accepted)-1]
+}
+
+// clientAnswer is what a client read; its status is 0 without a complete answer.
+type clientAnswer struct {
+	status     int
+	name, body string
+}
+
+// request sends one request on a connection of its own to the edge of a zone. An
+// edge that has read all of it must answer.
+func (t *messageTraffic) request(zone, raw string) clientAnswer {
+	m := t.maintenance
+	w := m.world
+	edge := w.processOf("edge-" + zone)
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	dialled, err := w.clientProcess.dial(ctx, edge.ip+":80")
+	if err != nil {
+		return clientAnswer{}
+	}
+	defer func() { _ = dialled.Close() }()
+	server := dialled.(*conn).peer
+	if _, err := io.WriteString(dialled, raw); err != nil {
+		return clientAnswer{}
+	}
+	_ = dialled.SetReadDeadline(time.Now().Add(answerLimit))
+	response, err := http.ReadResponse(bufio.NewReader(dialled), nil)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(response.Body)
+	}
+	if err != nil {
+		if !dialled.(*conn).out.hasUnread() && !m.wasFaulted(server) {
+			m.fail("unanswered", "edge of %s has read a request and not answered it (%v): %.120q", zone, err, raw)
+		}
+		return clientAnswer{}
+	}
+	return clientAnswer{status: response.StatusCode, name: response.Header.Get("Saltreel-Message-Name"), body: string(body)}
+}
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log"
-	"sync"
 	"time"
 
 	"saltreel/internal/settings"
@@ -75,10 +74,8 @@
 	if err != nil || started == nil {
 		return err
 	}
-	var tasks sync.WaitGroup
-	defer tasks.Wait()
 	ended := make(chan result, 1)
-	tasks.Go(func() { ended <- result{err: started.Run(ctx)} })
+	go func() { ended <- result{err: started.Run(ctx)} }()
 	l.process = started
 	l.perform(l.state.step(eventStarted), cancel)
 	last := l.follow(ended, watchInterval(set), cancel, nil)
