partition: the test of a power loss tells two files apart by open files

It failed once under -race: a file that was written anew twice could have the inode of the one before, and was taken for it. The file of the last sync stays open now.

--- a/internal/partition/power_loss_test.go
+++ b/internal/partition/power_loss_test.go
@@ -26,9 +26,9 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	refuses bool
-	onDisk  []byte      // what a loss of power leaves
-	file    os.FileInfo // of that content
-	clean   []byte      // what is in the cache and may never reach the disk
+	onDisk  []byte   // what a loss of power leaves
+	file    *os.File // that had this content; open, so that no other file gets its inode
+	clean   []byte   // what is in the cache and may never reach the disk
 }
 
 const pageSize = 4096
@@ -46,16 +46,35 @@
 	return syscall.ENOSPC
 }
 
-func (d *faultyDisk) readLocked() ([]byte, os.FileInfo) {
+// readLocked reads the file, and reports whether it is the one of the last sync.
+func (d *faultyDisk) readLocked() (raw []byte, same bool) {
 	raw, err := os.ReadFile(d.path)
 	if err != nil {
 		d.t.Error(err)
 	}
-	info, err := os.Stat(d.path)
+	now, err := os.Stat(d.path)
 	if err != nil {
 		d.t.Error(err)
 	}
-	return raw, info
+	if d.file == nil {
+		return raw, false
+	}
+	before, err := d.file.Stat()
+	if err != nil {
+		d.t.Error(err)
+	}
+	return raw, os.SameFile(before, now)
+}
+
+// holdLocked keeps the file open that is there now.
+func (d *faultyDisk) holdLocked() {
+	if d.file != nil {
+		_ = d.file.Close() // only read
+	}
+	var err error
+	if d.file, err = os.Open(d.path); err != nil {
+		d.t.Error(err)
+	}
 }
 
 func (d *faultyDisk) setRefuses(refuses bool) {
@@ -70,8 +89,8 @@
 func (d *faultyDisk) noteSynced() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	raw, info := d.readLocked()
-	if d.file != nil && os.SameFile(d.file, info) {
+	raw, same := d.readLocked()
+	if same {
 		for at := 0; at < min(len(d.clean), len(raw)); at += pageSize {
 			end := min(at+pageSize, len(d.clean), len(raw))
 			if bytes.Equal(raw[at:end], d.clean[at:end]) {
@@ -82,8 +101,9 @@
 		}
 	} else {
 		d.clean = nil
+		d.holdLocked()
 	}
-	d.onDisk, d.file = raw, info
+	d.onDisk = raw
 }
 
 // afterPowerLoss opens what the disk holds after a loss of power now.
@@ -118,10 +138,11 @@
 		}
 		disk := &faultyDisk{t: t, path: filepath.Join(dir, "store.db"), rng: rand.New(rand.NewPCG(seed, 1))}
 		disk.noteSynced()
+		t.Cleanup(func() { _ = disk.file.Close() }) // only read
 		s.file.Fault = disk.fault
 		ctx, cancel := context.WithCancel(t.Context())
-		var running sync.WaitGroup
-		running.Go(func() { _ = s.run(ctx, time.Millisecond, t.Logf) })
+		ended := make(chan error, 1)
+		go func() { ended <- s.run(ctx, time.Millisecond, t.Logf) }()
 		for n := range 60 {
 			disk.setRefuses(n%4 == 3)
 			onDisk := make(chan struct{})
@@ -133,11 +154,15 @@
 			case <-onDisk:
 			case <-time.After(50 * time.Millisecond): // the disk refuses it, for as long as it does
 				disk.setRefuses(false)
-				<-onDisk
+				select {
+				case <-onDisk:
+				case err := <-ended:
+					t.Fatalf("seed %d: the writer ended: %v", seed, err)
+				}
 			}
 		}
 		cancel()
-		running.Wait()
+		<-ended
 		held := disk.afterPowerLoss()
 		for n := range 60 {
 			if !held[fmt.Sprint(n)] {
