--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -14,7 +14,7 @@
 // before it is closed.
 const (
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	lingerBytes = 8 << 20 // twice the largest body that any listener takes
 )
 
 // Conn is a client's connection. Its methods are for the handler of its current
