--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -155,6 +155,18 @@
 	return r.StatusCode
 }
 
+// startRequest sends bytes to a server on a connection of its own, and returns the
+// status of its response once the server has read them.
+func startRequest(t *testing.T, s *Server, raw string) <-chan int {
+	t.Helper()
+	c := connectTo(t, s)
+	c.send(raw)
+	status := make(chan int, 1)
+	go func() { status <- c.status() }()
+	synctest.Wait()
+	return status
+}
+
 const plainRequest = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 
 // untilDone is a handler that takes as long as it may.
@@ -174,11 +186,7 @@
 func TestShutdownAnswersEveryRequestThatWasRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{Handle: untilDone}
-		c := connectTo(t, s)
-		c.send(plainRequest)
-		status := make(chan int, 1)
-		go func() { status <- c.status() }()
-		synctest.Wait()
+		status := startRequest(t, s, plainRequest)
 		began := time.Now()
 		shutdownWithin(s, time.Second)
 		if took := time.Since(began); took != time.Second {
@@ -194,11 +202,7 @@
 func TestShutdownRejectsARequestThatIsNotWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{Handle: untilDone}
-		c := connectTo(t, s)
-		c.send(plainRequest[:len(plainRequest)-1])
-		status := make(chan int, 1)
-		go func() { status <- c.status() }()
-		synctest.Wait()
+		status := startRequest(t, s, plainRequest[:len(plainRequest)-1])
 		shutdownWithin(s, time.Second)
 		if got := <-status; got != http.StatusRequestTimeout {
 			t.Errorf("answered %d", got)
@@ -246,11 +250,7 @@
 func TestShutdownMayBeCalledAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{Handle: untilDone}
-		c := connectTo(t, s)
-		c.send(plainRequest)
-		status := make(chan int, 1)
-		go func() { status <- c.status() }()
-		synctest.Wait()
+		status := startRequest(t, s, plainRequest)
 		go shutdownWithin(s, time.Second)
 		shutdownWithin(s, 2*time.Second)
 		shutdownWithin(s, time.Second)
