--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -30,29 +30,23 @@
 	return &Core{server: server, settings: set, network: network, log: logger}, nil
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends. A core that finds its state on disk damaged is
+// replaced by a new one, which joins like one with an empty disk.
 func (c *Core) Run(ctx context.Context) error {
-	return Serve(ctx, c.server, c.settings, c.network, c.log)
-}
-
-// Reload does nothing: a core reads its settings when it starts.
-func (c *Core) Reload(*settings.Settings) {}
-
-// Serve runs a core with the listener for handlers and the operator, until ctx
-// ends. A core that finds its state on disk damaged is replaced by a new one,
-// which joins like one with an empty disk.
-func Serve(ctx context.Context, core *controlplane.Server, set *settings.Settings, network httpwire.Network, logger *log.Logger) error {
 	for {
-		err := serve(ctx, core, set, network, logger)
+		err := serve(ctx, c.server, c.settings, c.network, c.log)
 		if !errors.Is(err, controlplane.ErrDamaged) || ctx.Err() != nil {
 			return err
 		}
-		if core, err = controlplane.New(set, network, logger); err != nil {
+		if c.server, err = controlplane.New(c.settings, c.network, c.log); err != nil {
 			return err
 		}
 	}
 }
 
+// Reload does nothing: a core reads its settings when it starts.
+func (c *Core) Reload(*settings.Settings) {}
+
 // serve runs one core until ctx ends or the core fails.
 func serve(ctx context.Context, core *controlplane.Server, set *settings.Settings, network httpwire.Network, logger *log.Logger) error {
 	listener, err := network.Listen(set.Listeners.ControlPlane)
