configuration: spaces of topics; PATCH changes named items under the terms of PUT

The live sites' configurations have routes without host and service whose in-order is a word, which was no valid configuration, and change them by PATCH. A patch is decided at the head on the configuration in force: the same one again is acknowledged by its hash, one built on another revision gets 412.

--- a/internal/configstore/decide.go
+++ b/internal/configstore/decide.go
@@ -19,22 +19,54 @@
 	if isRecorded(docs, hash) || bytes.Equal(current, p.Configuration) {
 		return nil, nil // accepted before; the answer waits until the tail has it
 	}
-	next, err := configuration.Parse(p.Configuration)
+	return decideNextConfiguration(docs, p.Configuration, p.Match, hash)
+}
+
+// decidePatch decides on a change of named items: the configuration that it makes
+// of the one in force is decided on like one that was sent whole.
+func decidePatch(docs chain.Documents, p *Proposal) (chain.Documents, error) {
+	hash := hashOf(append([]byte("patch "), p.Patch...))
+	if isRecorded(docs, hash) {
+		return nil, nil
+	}
+	current := docs[KeyConfiguration]
+	revision, err := revisionOf(current)
+	if err != nil {
+		return nil, err
+	}
+	if p.Match != revision { // said first: the patch may fit the other revision only
+		return nil, revisionMismatch(revision, p.Match)
+	}
+	next, err := configuration.ApplyPatch(current, p.Patch)
 	if err != nil {
 		return nil, &RejectedError{400, err.Error()}
 	}
-	revision, err := revisionOf(current)
+	return decideNextConfiguration(docs, next, p.Match, hash)
+}
+
+// decideNextConfiguration decides on a configuration that builds on a revision;
+// hash is that of what the operator sent.
+func decideNextConfiguration(docs chain.Documents, raw []byte, match int64, hash []byte) (chain.Documents, error) {
+	next, err := configuration.Parse(raw)
+	if err != nil {
+		return nil, &RejectedError{400, err.Error()}
+	}
+	revision, err := revisionOf(docs[KeyConfiguration])
 	if err != nil {
 		return nil, err
 	}
-	if p.Match != revision {
-		return nil, &RejectedError{412, fmt.Sprintf("revision %d is in force, not %d", revision, p.Match)}
+	if match != revision {
+		return nil, revisionMismatch(revision, match)
 	}
 	if next.Revision <= revision {
 		return nil, &RejectedError{400, fmt.Sprintf("revision %d is not higher than %d", next.Revision, revision)}
 	}
 	key, block := appendRecord(docs, hash)
-	return chain.Documents{KeyConfiguration: p.Configuration, key: block}, nil
+	return chain.Documents{KeyConfiguration: raw, key: block}, nil
+}
+
+func revisionMismatch(inForce, match int64) *RejectedError {
+	return &RejectedError{412, fmt.Sprintf("revision %d is in force, not %d", inForce, match)}
 }
 
 // revisionOf is the revision of the configuration in force, 0 before the first.
--- a/internal/configstore/decide_test.go
+++ b/internal/configstore/decide_test.go
@@ -166,3 +166,41 @@
 		}
 	}
 }
+
+func TestPatchIsDecidedLikeAConfiguration(t *testing.T) {
+	docs := chain.Documents{KeyConfiguration: []byte(`{"revision":3,"route-table":[{"name":"a","path-prefix":"a.","route-type":"stored","timeout-ms":5}]}`)}
+	patch := func(match int64, raw string) (chain.Documents, error) {
+		return decidePatch(docs, &Proposal{Patch: []byte(raw), Match: match})
+	}
+	add := `{"revision":5,"upsert":{"route-table":[{"name":"b","path-prefix":"b.","route-type":"stored","timeout-ms":5}]},"withdraw":{"route-table":["a"]}}`
+	for name, c := range map[string]struct {
+		match int64
+		raw   string
+		code  int
+	}{
+		"built on another revision": {2, add, 412},
+		"unreadable":                {3, `{"revision":`, 400},
+		"revision not higher":       {3, `{"revision":3}`, 400},
+		"its result is invalid":     {3, `{"revision":5,"upsert":{"route-table":[{"name":"b","path-prefix":"a.","route-type":"stored","timeout-ms":5}]}}`, 400},
+	} {
+		var rejected *RejectedError
+		if set, err := patch(c.match, c.raw); set != nil || !errors.As(err, &rejected) || rejected.Code != c.code {
+			t.Errorf("%s: %v, %v", name, set, err)
+		}
+	}
+	set, err := patch(3, add)
+	if err != nil {
+		t.Fatal(err)
+	}
+	maps.Copy(docs, set)
+	want := `{"revision":5,"route-table":[{"name":"b","path-prefix":"b.","route-type":"stored","timeout-ms":5}]}`
+	if got := string(docs[KeyConfiguration]); got != want {
+		t.Errorf("in force is %s", got)
+	}
+	if set, err := patch(3, add); err != nil || set != nil {
+		t.Errorf("the same patch again: %v, %v", set, err)
+	}
+	if _, err := patch(3, `{"revision":6}`); err == nil {
+		t.Error("a second patch of the same revision is accepted")
+	}
+}
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -30,10 +30,11 @@
 )
 
 // Proposal is a change that any core may bring to the head. Exactly one of
-// Configuration, Placement and Retire is set.
+// Configuration, Patch, Placement and Retire is set.
 type Proposal struct {
 	Configuration []byte               `json:"configuration,omitempty"`
-	Match         int64                `json:"match,omitempty"` // the revision that Configuration builds on
+	Patch         []byte               `json:"patch,omitempty"` // of named items of the configuration
+	Match         int64                `json:"match,omitempty"` // the revision that Configuration or Patch builds on
 	Placement     *placement.Placement `json:"placement,omitempty"`
 	Retire        string               `json:"retire,omitempty"` // name of a store to empty
 }
@@ -134,8 +135,8 @@
 		return &UnavailableError{err}
 	}
 	var rejected *RejectedError
-	if p.Configuration != nil && errors.As(err, &rejected) && rejected.Code == 400 {
-		s.config.Log.Printf("core: a configuration of %d bytes is refused: %v", len(p.Configuration), err)
+	if sent := len(p.Configuration) + len(p.Patch); sent > 0 && errors.As(err, &rejected) && rejected.Code == 400 {
+		s.config.Log.Printf("core: a configuration of %d bytes is refused: %v", sent, err)
 	}
 	return err
 }
@@ -144,6 +145,9 @@
 	if p.Configuration != nil {
 		return decideConfiguration(docs, p)
 	}
+	if p.Patch != nil {
+		return decidePatch(docs, p)
+	}
 	if p.Placement == nil && p.Retire == "" {
 		return nil, &RejectedError{400, "the proposal is empty"}
 	}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -64,20 +64,46 @@
 func checkRoutes(list []*Route, services map[string]bool) error {
 	byMatch := map[string]string{} // the name of the route by host and prefix
 	for _, r := range list {
-		if !services[r.Service] {
-			return fmt.Errorf("route %s names service %q, which is not known", r.Name, r.Service)
+		if err := r.check(services); err != nil {
+			return err
 		}
 		match := strings.ToLower(r.HostMatch) + " " + r.PathPrefix
 		if other, ok := byMatch[match]; ok {
 			return fmt.Errorf("routes %s and %s have the same host and prefix", other, r.Name)
 		}
 		byMatch[match] = r.Name
-		if r.TimeoutMs <= 0 {
-			return fmt.Errorf("route %s: timeout-ms %d must be over 0", r.Name, r.TimeoutMs)
-		}
-		if r.PathPrefix == "" || r.PathPrefix[0] != '/' {
-			return fmt.Errorf("route %s: path-prefix %q does not begin with /", r.Name, r.PathPrefix)
-		}
+	}
+	return nil
+}
+
+// check checks what a route alone can show to be wrong.
+func (r *Route) check(services map[string]bool) error {
+	if r.TimeoutMs <= 0 {
+		return fmt.Errorf("route %s: timeout-ms %d must be over 0", r.Name, r.TimeoutMs)
+	}
+	if r.RetentionS < 0 {
+		return fmt.Errorf("route %s: retention-s is below 0", r.Name)
+	}
+	if r.IsSpace() {
+		return r.checkSpace()
+	}
+	if !services[r.Service] {
+		return fmt.Errorf("route %s names service %q, which is not known", r.Name, r.Service)
+	}
+	if r.PathPrefix == "" || r.PathPrefix[0] != '/' {
+		return fmt.Errorf("route %s: path-prefix %q does not begin with /", r.Name, r.PathPrefix)
+	}
+	return nil
+}
+
+func (r *Route) checkSpace() error {
+	switch {
+	case r.Service != "":
+		return fmt.Errorf("route %s is a space of topics and names service %q", r.Name, r.Service)
+	case r.HostMatch != "":
+		return fmt.Errorf("route %s is a space of topics and names host %q", r.Name, r.HostMatch)
+	case r.PathPrefix == "":
+		return fmt.Errorf("route %s is a space of topics without a path-prefix", r.Name)
 	}
 	return nil
 }
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -35,3 +35,36 @@
 		}
 	}
 }
+
+const spaces = `{"revision":7,"route-table":[{"name":"a","host-match":"","path-prefix":"kafi.","route-type":"stored","timeout-ms":10,"in-order":"publisher","retention-s":35.0},{"name":"b","path-prefix":"kafi.b","route-type":"realtime","timeout-ms":10,"in-order":"topic"}],"limits":{"subscriptions":9}}`
+
+func TestSpacesOfTopics(t *testing.T) {
+	c, err := Parse([]byte(spaces))
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := NewTable(c)
+	for topic, want := range map[string]string{"kafi.1": "a", "kafi.b7?x": "b", "kafi": "", "": ""} {
+		if got := table.Space(topic).GetName(); got != want {
+			t.Errorf("topic %q is in space %q, not %q", topic, got, want)
+		}
+	}
+	a, b := table.Space("kafi.1"), table.Space("kafi.b")
+	if !a.IsStored() || b.IsStored() || a.OrdersTopics() || !b.OrdersTopics() || a.OrdersKeys() || table.Limits.Subscriptions != 9 {
+		t.Errorf("read as %v", c)
+	}
+	for what, change := range map[string][2]string{
+		"a host":            {`"host-match":""`, `"host-match":"h"`},
+		"a service":         {`"in-order":"topic"`, `"service":"s"`},
+		"no prefix":         {`"path-prefix":"kafi.b"`, `"path-prefix":""`},
+		"the same prefix":   {`"kafi.b"`, `"kafi."`},
+		"negative time":     {`35.0`, `-1`},
+		"no time-out":       {`"timeout-ms":10`, `"timeout-ms":0`},
+		"an unknown type":   {`"stored"`, `"durable"`},
+		"no type for topic": {`"route-type":"realtime",`, ``},
+	} {
+		if _, err := Parse([]byte(strings.Replace(spaces, change[0], change[1], 1))); err == nil {
+			t.Errorf("%s is accepted", what)
+		}
+	}
+}
--- a/internal/edge/candidates_test.go
+++ b/internal/edge/candidates_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 
+	"google.golang.org/protobuf/types/known/structpb"
+
 	"saltreel/internal/configuration"
 	"saltreel/internal/membership"
 	"saltreel/internal/partition"
@@ -98,7 +100,7 @@
 
 func TestOnePartitionPacesServiceOrOrdersKey(t *testing.T) {
 	p := testPlacement([]string{"1-1-a", "2-1-b", "9-9-c", "1-1-d", "9-9-e", "2-1-f", "1-1-g"})
-	inOrder := &configuration.Route{InOrder: true}
+	inOrder := &configuration.Route{InOrder: structpb.NewBoolValue(true)}
 	paced := &configuration.Service{Name: "paced", RatePerS: 5}
 	record := &partition.Record{ID: "one", Tenant: "tenant", OrderKey: "key"}
 	for _, test := range []struct {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -57,12 +57,12 @@
 func (s *Server) route(ctx context.Context, r *httpwire.Request) (*httpwire.Response, error) {
 	path := r.URL.Path
 	switch {
-	case path == configurationPath && r.Method == http.MethodPut:
-		return s.putConfiguration(ctx, r)
+	case path == configurationPath && (r.Method == http.MethodPut || r.Method == http.MethodPatch):
+		return s.changeConfiguration(ctx, r)
 	case path == configurationPath && r.Method == http.MethodGet:
 		return s.getConfiguration(ctx)
 	case path == configurationPath:
-		return httpwire.Problem(http.StatusMethodNotAllowed, "the configuration takes GET and PUT"), nil
+		return httpwire.Problem(http.StatusMethodNotAllowed, "the configuration takes GET, PUT and PATCH"), nil
 	case strings.HasPrefix(path, retirePath):
 		return s.retire(ctx, r, strings.TrimPrefix(path, retirePath))
 	case path == statusPath && r.Method == http.MethodGet:
@@ -72,7 +72,9 @@
 	return httpwire.Problem(http.StatusNotFound, "no such call: "+path), nil
 }
 
-func (s *Server) putConfiguration(ctx context.Context, r *httpwire.Request) (*httpwire.Response, error) {
+// changeConfiguration takes a whole configuration (PUT), or a change of named
+// items (PATCH).
+func (s *Server) changeConfiguration(ctx context.Context, r *httpwire.Request) (*httpwire.Response, error) {
 	match, err := parseRevision(r.Header.Get("If-Match"))
 	if err != nil {
 		return httpwire.Problem(http.StatusBadRequest, "If-Match is not a revision"), nil
@@ -80,7 +82,13 @@
 	if len(r.Body) == 0 {
 		return httpwire.Problem(http.StatusBadRequest, "the configuration is empty"), nil
 	}
-	err = s.Core.Propose(ctx, controlplane.Proposal{Configuration: r.Body, Match: match})
+	proposal := controlplane.Proposal{Match: match}
+	if r.Method == http.MethodPatch {
+		proposal.Patch = r.Body
+	} else {
+		proposal.Configuration = r.Body
+	}
+	err = s.Core.Propose(ctx, proposal)
 	return httpwire.JSON(http.StatusOK, struct{}{}), err
 }
 
