--- a/internal/settings/derived.go
+++ b/internal/settings/derived.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -9,6 +10,14 @@
 // Contact is the contact bound. Most waits inside the system are ratios of it.
 func (s *Settings) Contact() time.Duration { return Ms(s.Timers.ContactMs) }
 
+// ProcessorShare is how much of one core's work the process may do.
+func (s *Settings) ProcessorShare() float64 {
+	return s.Limits.CpuShare * max(1, s.Limits.CoreCount)
+}
+
+// HasTenants reports whether clients belong to tenants and prove it by a key.
+func (s *Settings) HasTenants() bool { return slices.Contains(s.PolicySections, "tenants") }
+
 // InternalAddress returns the address, host:port, at which the system's own processes
 // reach this one.
 func (s *Settings) InternalAddress() string { return s.InternalAddressAt(s.IpAddress) }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,3 +45,37 @@
 		}
 	}
 }
+
+// Each role asks for what it needs, and no more.
+func TestRolesRequireWhatTheyNeed(t *testing.T) {
+	common := strings.Replace(valid, "timers.status-ttl-s=120\n", "", 1)
+	clients := "listeners.data-plane=10.0.0.1:1\nlisteners.readiness=10.0.0.1:2\n"
+	for _, c := range []struct{ role, fields string }{
+		{"edge", clients + "timers.status-ttl-s=120\n"},
+		{"store", "data-path=/data\ntimers.status-ttl-s=120\n"},
+		{"gateway", clients + "timers.ping-interval-s=2\ntimers.presence-ms=5000\n"},
+		{"broker", "data-path=/data\ntimers.retransmit-s=10\n"},
+		{"core", "listeners.control-plane=10.0.0.1:3\ndata-path=/data\n"},
+	} {
+		needed := strings.SplitAfter(strings.TrimSuffix(c.fields, "\n"), "\n")
+		for missing := range needed {
+			text := common
+			for i, line := range needed {
+				if i != missing {
+					text += line
+				}
+			}
+			name, _, _ := strings.Cut(needed[missing], "=")
+			s, err := Parse(text)
+			if err != nil {
+				t.Fatalf("%s without %s: %v", c.role, name, err)
+			}
+			if err := s.Require(c.role); err == nil || !strings.Contains(err.Error(), name) || !strings.Contains(err.Error(), c.role) {
+				t.Errorf("%s without %s: %v", c.role, name, err)
+			}
+		}
+		if s, err := Parse(common + c.fields); err != nil || s.Require(c.role) != nil {
+			t.Errorf("%s with all it needs: %v, %v", c.role, err, s.Require(c.role))
+		}
+	}
+}
