--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 
 	"saltreel/internal/httpwire"
 	"saltreel/internal/placement"
-	"saltreel/internal/rpc"
 )
 
 // HandleDigest lists what is held here of a partition. It returns a
@@ -106,41 +103,22 @@
 
 // HandleFetch answers a FetchRequest with the records that are here, as a
 // PartitionBatch and their bodies. What is over maxFetchBytes is left out.
-func (m *Manager) HandleFetch(_ context.Context, r *httpwire.Request) *httpwire.Response {
-	var in FetchRequest
-	if err := json.Unmarshal(r.Body, &in); err != nil {
-		return httpwire.Problem(400, err.Error())
-	}
-	body, err := m.encodeRecords(in)
-	if err != nil {
-		if code := StatusCode(err); code != 0 {
-			return httpwire.Problem(code, err.Error())
-		}
-		return httpwire.Problem(500, err.Error())
-	}
-	return &httpwire.Response{Status: 200, Body: body}
-}
-
-func (m *Manager) encodeRecords(in FetchRequest) ([]byte, error) {
+func (m *Manager) HandleFetch(_ context.Context, in *FetchRequest, _ []byte) (*PartitionBatch, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.knowsLocked(in.Partition) {
-		return nil, ErrUnknownPartition
+		return nil, nil, ErrUnknownPartition
 	}
 	records := &m.partitions[in.Partition].records
-	batch := PartitionBatch{Partition: in.Partition, Now: m.Now()}
-	var bodies []byte
+	batch := &PartitionBatch{Partition: in.Partition, Now: m.Now()}
+	bodies := []byte{}
 	for _, id := range in.IDs {
 		if r := records.byID[id]; r != nil && len(bodies) < maxFetchBytes {
 			batch.Records = append(batch.Records, r)
 			bodies = append(bodies, r.Body...)
 		}
 	}
-	front, err := json.Marshal(batch)
-	if err != nil {
-		return nil, err
-	}
-	return append(append(front, '\n'), bodies...), nil
+	return batch, bodies, nil
 }
 
 // errTruncatedFetch says that the answer of another store is incomplete. It is not
@@ -171,23 +149,8 @@
 func (m *Manager) callFetch(ctx context.Context, address string, request FetchRequest) (batch PartitionBatch, bodies []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, m.timing.fetchTimeout())
 	defer cancel()
-	body, err := json.Marshal(request)
-	if err != nil {
-		return batch, nil, err
-	}
-	answer, err := m.config.Client.Send(ctx, address, "/fetch", body)
-	if err != nil {
-		return batch, nil, fmt.Errorf("fetch: %w", err)
-	}
-	if answer.Status != 200 {
-		status := &rpc.StatusError{Code: answer.Status, Text: string(answer.Body)}
-		return batch, nil, &httpwire.Error{Step: "fetch", Peer: address, Sent: true, Err: status}
-	}
-	front, bodies := rpc.SplitBody(answer.Body)
-	if err := json.Unmarshal(front, &batch); err != nil {
-		return batch, nil, &httpwire.Error{Step: "decode fetch", Peer: address, Sent: true, Err: err}
-	}
-	return batch, bodies, nil
+	bodies, err = m.config.Client.CallRaw(ctx, address, "/fetch", request, nil, &batch)
+	return batch, bodies, err
 }
 
 // adoptLocked makes records of another store the primary's own, as changes of its
--- a/internal/rpc/calls_test.go
+++ b/internal/rpc/calls_test.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, m := range regexp.MustCompile(`"(/[a-z/-]+)": +(?:rpc\.Handler|source|s\.)`).FindAllSubmatch(source, -1) {
+		for _, m := range regexp.MustCompile(`"(/[a-z/-]+)": +(?:rpc\.(?:Raw)?Handler|source|s\.)`).FindAllSubmatch(source, -1) {
 			used[string(m[1])] = true
 		}
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -84,25 +84,33 @@
 // reads JSON into out unless that is nil. Errors are of type *httpwire.Error, and
 // wrap a *StatusError if there was a response of another status than 2xx.
 func (c *Client) Call(ctx context.Context, addr, path string, in any, raw []byte, out any) error {
+	_, err := c.CallRaw(ctx, addr, path, in, raw, out)
+	return err
+}
+
+// CallRaw is Call for a response that has raw bytes behind its JSON, which it
+// returns.
+func (c *Client) CallRaw(ctx context.Context, addr, path string, in any, raw []byte, out any) ([]byte, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
-		return &httpwire.Error{Step: "encode " + path, Peer: addr, Err: err}
+		return nil, &httpwire.Error{Step: "encode " + path, Peer: addr, Err: err}
 	}
 	if raw != nil {
 		body = append(append(body, '\n'), raw...)
 	}
 	a, err := c.Send(ctx, addr, path, body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if a.Status/100 != 2 {
-		return &httpwire.Error{Step: path, Peer: addr, Sent: true, Err: &StatusError{Code: a.Status, Text: string(bytes.TrimSpace(a.Body))}}
+		return nil, &httpwire.Error{Step: path, Peer: addr, Sent: true, Err: &StatusError{Code: a.Status, Text: string(bytes.TrimSpace(a.Body))}}
 	}
 	if out == nil {
-		return nil
+		return nil, nil
 	}
-	if err := json.Unmarshal(a.Body, out); err != nil {
-		return &httpwire.Error{Step: "decode " + path, Peer: addr, Sent: true, Err: err}
+	front, rawAnswer := SplitBody(a.Body)
+	if err := json.Unmarshal(front, out); err != nil {
+		return nil, &httpwire.Error{Step: "decode " + path, Peer: addr, Sent: true, Err: err}
 	}
-	return nil
+	return rawAnswer, nil
 }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -59,6 +59,15 @@
 // that it wraps, else with 500. So the errors of a package are mapped to statuses
 // in one function, here at the boundary of the call.
 func Handler[In, Out any](f func(ctx context.Context, in *In, raw []byte) (*Out, error), codes ...func(error) int) httpwire.Handler {
+	return RawHandler(func(ctx context.Context, in *In, raw []byte) (*Out, []byte, error) {
+		out, err := f(ctx, in, raw)
+		return out, nil, err
+	}, codes...)
+}
+
+// RawHandler is Handler for a function that returns raw bytes too. They follow the
+// JSON on a new line.
+func RawHandler[In, Out any](f func(ctx context.Context, in *In, raw []byte) (*Out, []byte, error), codes ...func(error) int) httpwire.Handler {
 	return func(ctx context.Context, r *httpwire.Request) *httpwire.Response {
 		front, raw := SplitBody(r.Body)
 		in := new(In)
@@ -67,7 +76,7 @@
 				return httpwire.Problem(400, "the call cannot be read: "+err.Error())
 			}
 		}
-		out, err := f(ctx, in, raw)
+		out, rawAnswer, err := f(ctx, in, raw)
 		if err != nil {
 			return errorResponse(err, codes)
 		}
@@ -75,6 +84,9 @@
 		if err != nil {
 			return httpwire.Problem(500, err.Error())
 		}
+		if rawAnswer != nil {
+			body = append(append(body, '\n'), rawAnswer...)
+		}
 		// Without the header fields that only others than our own processes need.
 		return &httpwire.Response{Status: 200, Body: body}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -179,7 +179,7 @@
 		"/ping":     rpc.Handler(s.handlePing, statusCode),
 		"/copy":     rpc.Handler(s.partitions.HandleBatch, statusCode),
 		"/digest":   rpc.Handler(s.partitions.HandleDigest, statusCode),
-		"/fetch":    s.partitions.HandleFetch,
+		"/fetch":    rpc.RawHandler(s.partitions.HandleFetch, statusCode),
 		"/accept":   rpc.Handler(s.handleAccept, statusCode),
 		"/status":   rpc.Handler(s.handleStatus, statusCode),
 		"/body":     s.handleBody,
