store: what is done with messages is a workload; quotas of a node apart

A store of topics needs the partitions, the node, the limiter and the drain of a store, and neither the scheduler nor the questions about messages: these are the workload of deferred messages now (messages.go). The quotas that an edge measures requests against move to package admission, for gateways too. No behaviour changes; the calls of store/messages.go are compared with docs/calls.md as before.

--- /dev/null
+++ b/internal/admission/quotas_test.go
@@ -0,0 +1,80 @@
+package admission
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"saltreel/internal/configuration"
+	"saltreel/internal/quota"
+)
+
+func TestByteLimits(t *testing.T) {
+	tenants := []*configuration.Tenant{{Name: "limited", RatePerS: 10}, {Name: "unlimited"}}
+	for _, c := range []struct {
+		limits *configuration.Limits
+		want   map[quota.Entity]float64
+	}{
+		{&configuration.Limits{MaxBodyBytes: 1000}, map[quota.Entity]float64{{Tenant: "limited"}: 10000}},
+		{&configuration.Limits{}, nil},
+		{nil, nil},
+	} {
+		table := configuration.NewTable(&configuration.Configuration{TenantTable: tenants, Limits: c.limits})
+		if got := ByteLimits(table); !maps.Equal(got, c.want) {
+			t.Errorf("%v: %v", c.limits, got)
+		}
+	}
+}
+
+// X is the longest that any quota asks for, and the hold is on that quota.
+func TestLongestThrottleTimeDecides(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		bytes    int
+		worked   time.Duration
+		accepted time.Duration
+		by       func(*Quotas) *quota.Manager
+		throttle bool
+	}{
+		{"within all limits", 1, time.Millisecond, 0, func(q *Quotas) *quota.Manager { return q.RequestBytes }, false},
+		{"bytes", 1 << 20, time.Millisecond, 0, func(q *Quotas) *quota.Manager { return q.RequestBytes }, true},
+		{"time", 1, time.Hour, 0, func(q *Quotas) *quota.Manager { return q.RequestTime }, true},
+		{"accepted messages", 1, time.Millisecond, time.Second, func(q *Quotas) *quota.Manager { return q.Accepted }, true},
+		{"the longest of several", 1 << 20, time.Millisecond, time.Hour, func(q *Quotas) *quota.Manager { return q.Accepted }, true},
+		{"negative time counts as none", 1, -time.Hour, 0, func(q *Quotas) *quota.Manager { return q.RequestBytes }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := NewQuotas(1)
+			q.RequestBytes.SetLimit(quota.Entity{Tenant: quota.Default}, 1000)
+			q.RequestTime.SetLimit(quota.Entity{Tenant: quota.Default}, 0.5)
+			x, by := q.RecordRequest("one", "route", test.bytes, test.worked, test.accepted)
+			if (x > 0) != test.throttle {
+				t.Errorf("throttle time %v, want one: %v", x, test.throttle)
+			}
+			if by != test.by(q) {
+				t.Error("another quota asks for it")
+			}
+		})
+	}
+}
+
+func TestLimitsFollowConfiguration(t *testing.T) {
+	q := NewQuotas(1)
+	table := func(rate float64) *configuration.Table {
+		return configuration.NewTable(&configuration.Configuration{
+			TenantTable: []*configuration.Tenant{{Name: "one", RatePerS: rate}, {Name: "two"}},
+		})
+	}
+	for _, rate := range []float64{10, 20} {
+		q.ApplyLimits(table(rate))
+		reference := quota.NewManager(quota.Accepted)
+		reference.SetLimit(quota.Entity{Tenant: "one"}, rate)
+		want, _ := reference.MaxInWindow("one", "route")
+		if got, limited := q.Accepted.MaxInWindow("one", "route"); !limited || got != want {
+			t.Errorf("rate %v: most in a window %v, limited %v; want %v", rate, got, limited, want)
+		}
+		if _, limited := q.Accepted.MaxInWindow("two", "route"); limited {
+			t.Error("a tenant without rate is limited")
+		}
+	}
+}
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -21,7 +21,7 @@
 		return withRetryAfter(httpwire.Problem(503, "no configuration is known here yet"), quota.Window)
 	}
 	table := e.node.Table()
-	e.quotas.applyLimits(table)
+	e.quotas.ApplyLimits(table)
 	if kind, name, ok := client.ParseQuestion(r); ok {
 		return e.answerQuery(ctx, r, table, kind, name)
 	}
@@ -50,7 +50,7 @@
 // and names the throttle time X; then reads from the connection stop for as long.
 func (e *Edge) throttle(r *httpwire.Request, m *client.Message, route *configuration.Route, waited time.Duration, response *httpwire.Response) {
 	worked := time.Since(r.Received) - waited
-	x, by := e.quotas.recordRequest(m.Tenant, route.Name, len(r.Body), worked, m.Throttle)
+	x, by := e.quotas.RecordRequest(m.Tenant, route.Name, len(r.Body), worked, m.Throttle)
 	shared := r.Conn.Shared(m.Tenant)
 	if x <= 0 {
 		return
@@ -85,11 +85,11 @@
 // tenant is over it, else nil. What is asked is recorded, then checked. The limit
 // binds over all nodes, so here a lease decides, and X follows from what was granted.
 func (e *Edge) checkRate(ctx context.Context, tenant *configuration.Tenant, m *client.Message, route *configuration.Route) *httpwire.Response {
-	m.Throttle = e.quotas.accepted.Record(m.Tenant, route.Name, 1)
+	m.Throttle = e.quotas.Accepted.Record(m.Tenant, route.Name, 1)
 	if wait := e.leases.Acquire(ctx, tenant); wait > 0 {
 		// The connection is held until the next lease only: the tenant is
 		// still owed its limit, also on the connections it has.
-		x := max(wait, e.leases.ThrottleTime(tenant, e.quotas.accepted.Rate(m.Tenant, route.Name)))
+		x := max(wait, e.leases.ThrottleTime(tenant, e.quotas.Accepted.Rate(m.Tenant, route.Name)))
 		m.Throttle = min(wait, x)
 		return withRetryAfter(httpwire.Problem(429, "tenant "+m.Tenant+" is over its limit"), x)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,11 +12,11 @@
 	"sync/atomic"
 	"time"
 
+	"saltreel/internal/admission"
 	"saltreel/internal/configuration"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/node"
 	"saltreel/internal/platform"
-	"saltreel/internal/quota"
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
@@ -31,7 +31,7 @@
 	node    *node.Node
 	leases  *ratelimit.Leases
 
-	quotas   quotas
+	quotas   *admission.Quotas
 	stalled  stalledPrimaries
 	stopping atomic.Bool // no new connections are wanted
 }
@@ -45,11 +45,9 @@
 		log:     logger,
 		network: network,
 		node:    node.New(node.Config{Settings: set, Role: "edge", Network: network, Log: logger}),
-		quotas:  newQuotas(),
+		quotas:  admission.NewQuotas(set.ProcessorShare()),
 		stalled: newStalledPrimaries(timing.stallMemory()),
 	}
-	// One tenant may have half of what this node's processor can do.
-	e.quotas.requestTime.SetLimit(quota.Entity{Tenant: quota.Default}, set.Limits.CpuShare*max(1, set.Limits.CoreCount)/2)
 	e.leases = ratelimit.NewLeases(e.node.Client, e.node.Placement, set.Contact())
 	return e
 }
@@ -89,9 +87,7 @@
 		func() { _ = platform.ServeReadiness(serving, listeners.readiness, e.ready) },
 		func() { e.node.Run(serving) },
 		func() { e.leases.Run(serving) },
-		func() { e.quotas.requestBytes.Reap(serving) },
-		func() { e.quotas.requestTime.Reap(serving) },
-		func() { e.quotas.accepted.Reap(serving) },
+		func() { e.quotas.Reap(serving) },
 	} {
 		tasks.Go(task)
 	}
--- a/internal/rpc/calls_test.go
+++ b/internal/rpc/calls_test.go
@@ -32,12 +32,12 @@
 		}
 	}
 	used := map[string]bool{}
-	for _, file := range []string{"controlplane/server.go", "store/store.go", "edge/edge.go"} {
+	for _, file := range []string{"controlplane/server.go", "store/store.go", "store/messages.go", "edge/edge.go"} {
 		source, err := os.ReadFile("../" + file)
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, m := range regexp.MustCompile(`"(/[a-z/-]+)": +(?:rpc\.(?:Raw)?Handler|source|s\.)`).FindAllSubmatch(source, -1) {
+		for _, m := range regexp.MustCompile(`"(/[a-z/-]+)": +(?:rpc\.(?:Raw)?Handler|source|[a-z]+\.)`).FindAllSubmatch(source, -1) {
 			used[string(m[1])] = true
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,7 @@
-// Package store is the process of a storage machine: it holds partitions of the
-// messages, accepts messages for those that it is primary of, delivers them, and
-// answers the calls of the system's other processes about them.
+// Package store is the process of a storage machine: it holds partitions, accepts
+// messages for those that it is primary of, and answers the calls of the system's
+// other processes. What is done with the messages is a Workload: this package has
+// that of deferred messages, package broker that of topics.
 package store
 
 import (
@@ -8,45 +9,70 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"sync"
 	"time"
 
-	"saltreel/internal/configuration"
-	"saltreel/internal/delivery"
 	"saltreel/internal/distribution"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/journal"
 	"saltreel/internal/node"
 	"saltreel/internal/partition"
-	"saltreel/internal/quota"
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
 	"saltreel/internal/timeutil"
 )
 
+// Workload is what a store does with the messages of the partitions that it is
+// primary of.
+type Workload interface {
+	// Calls are the calls about messages that it serves. docs/calls.md lists them.
+	Calls() rpc.Mux
+	// Run consumes the events of the partitions until ctx ends, then ends what is
+	// in flight.
+	Run(ctx context.Context)
+	// ApplyEvent follows what the control plane distributes.
+	ApplyEvent(e journal.Event)
+	// Idle reports whether nothing of a partition is in flight, so that it may be
+	// handed over.
+	Idle(partition int) bool
+}
+
+// Host is what a Workload may use of its store.
+type Host struct {
+	Settings   *settings.Settings
+	Log        *log.Logger
+	Network    httpwire.Network
+	Node       *node.Node
+	Partitions *partition.Manager
+}
+
 // Store is the process of one storage machine.
 type Store struct {
-	settings      *settings.Settings
-	timing        timing
-	log           *log.Logger
-	network       httpwire.Network
-	node          *node.Node
-	partitions    *partition.Manager
-	scheduler     *delivery.Scheduler
-	deliveryBytes *quota.Manager
-	limiter       *ratelimit.Limiter
+	settings   *settings.Settings
+	timing     timing
+	log        *log.Logger
+	network    httpwire.Network
+	node       *node.Node
+	partitions *partition.Manager
+	workload   Workload
+	limiter    *ratelimit.Limiter
 }
 
-// New opens the disk and makes the process. While the disk does not work, it tries
-// again until ctx ends.
+// New opens the disk and makes the process of a store of deferred messages. While
+// the disk does not work, it tries again until ctx ends.
 func New(ctx context.Context, set *settings.Settings, network httpwire.Network, logger *log.Logger) (*Store, error) {
+	return NewWith(ctx, set, network, logger, newMessages)
+}
+
+// NewWith is New for a store with another workload.
+func NewWith(ctx context.Context, set *settings.Settings, network httpwire.Network, logger *log.Logger, newWorkload func(Host) (Workload, error)) (*Store, error) {
 	s := &Store{
-		settings:      set,
-		timing:        timing{contactTimeout: set.Contact(), grace: settings.Seconds(set.Timers.GraceS)},
-		log:           logger,
-		network:       network,
-		deliveryBytes: quota.NewManager(quota.DeliveryBytes),
+		settings: set,
+		timing:   newTiming(set),
+		log:      logger,
+		network:  network,
 	}
 	s.node = node.New(node.Config{
 		Settings: set,
@@ -58,9 +84,11 @@
 	if err := s.waitForDisk(ctx); err != nil {
 		return nil, err
 	}
-	if err := s.newScheduler(); err != nil {
+	workload, err := newWorkload(Host{Settings: set, Log: logger, Network: network, Node: s.node, Partitions: s.partitions})
+	if err != nil {
 		return nil, err
 	}
+	s.workload = workload
 	if err := s.newLimiter(); err != nil {
 		return nil, err
 	}
@@ -111,19 +139,6 @@
 	return nil
 }
 
-func (s *Store) newScheduler() error {
-	scheduler, err := delivery.New(delivery.Config{
-		Partitions: s.partitions,
-		Pool:       &httpwire.Pool{Network: s.network, DialTimeout: s.timing.dial()},
-		Settings:   s.settings,
-		Log:        s.log,
-		Table:      s.node.Table,
-		Bytes:      s.deliveryBytes,
-	})
-	s.scheduler = scheduler
-	return err
-}
-
 func (s *Store) newLimiter() error {
 	limiter, err := ratelimit.NewLimiter(ratelimit.LimiterConfig{
 		Allowance:      s.settings.Timers.QuotaAllowance / 2,
@@ -140,27 +155,10 @@
 
 // applyEvent follows what the control plane distributes.
 func (s *Store) applyEvent(e journal.Event) {
-	switch e.Key {
-	case distribution.KeyPlacement:
+	if e.Key == distribution.KeyPlacement {
 		s.partitions.ApplyPlacement(*s.node.Placement()) // which the node has just decoded
-	case distribution.KeyConfiguration:
-		if t := s.node.Table(); t != nil {
-			s.deliveryBytes.SetLimits(ByteLimits(t))
-		}
-	}
-	s.scheduler.ApplyEvent(e)
-}
-
-// ByteLimits returns the limits of tenants in bytes a second: what their rates
-// allow in messages of the largest size.
-func ByteLimits(t *configuration.Table) map[quota.Entity]float64 {
-	out := map[quota.Entity]float64{}
-	for _, tenant := range t.TenantTable {
-		if tenant.RatePerS > 0 && t.Limits.GetMaxBodyBytes() > 0 {
-			out[quota.Entity{Tenant: tenant.Name}] = tenant.RatePerS * float64(t.Limits.MaxBodyBytes)
-		}
 	}
-	return out
+	s.workload.ApplyEvent(e)
 }
 
 // partitionCount is how many partitions there are; 0 before the placement is known.
@@ -171,21 +169,21 @@
 	return 0
 }
 
-// calls are the calls that a store serves. docs/calls.md lists them.
+// calls are the calls that a store serves, those of its workload among them.
+// docs/calls.md lists them.
 func (s *Store) calls() rpc.Mux {
 	source := s.node.Publisher()
-	return rpc.Mux{
+	calls := rpc.Mux{
 		"/news":     source.Handle,
 		"/ping":     rpc.Handler(s.handlePing, statusCode),
 		"/copy":     rpc.Handler(s.partitions.HandleBatch, statusCode),
 		"/digest":   rpc.Handler(s.partitions.HandleDigest, statusCode),
 		"/fetch":    rpc.RawHandler(s.partitions.HandleFetch, statusCode),
-		"/accept":   rpc.Handler(s.handleAccept, statusCode),
-		"/status":   rpc.Handler(s.handleStatus, statusCode),
-		"/body":     s.handleBody,
 		"/grant":    rpc.Handler(s.limiter.Handle, statusCode),
 		"/handover": rpc.Handler(s.handleHandover, statusCode),
 	}
+	maps.Copy(calls, s.workload.Calls())
+	return calls
 }
 
 // Run serves until ctx ends, hands its partitions over, answers the calls that it
@@ -201,7 +199,6 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = server.Serve(serving, listener) })
 	tasks.Go(func() { s.node.Run(serving) })
-	tasks.Go(func() { s.deliveryBytes.Reap(serving) })
 	tasks.Go(func() { s.limiter.Run(serving) })
 	written := make(chan error, 1)
 	tasks.Go(func() { written <- s.partitions.Run(serving) })
@@ -231,7 +228,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		s.scheduler.Run(ctx)
+		s.workload.Run(ctx)
 	}()
 	return done
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -8,18 +8,15 @@
 	"fmt"
 	"io"
 	"log"
-	"maps"
 	"net"
 	"net/http"
 	"net/url"
 	"testing"
 	"time"
 
-	"saltreel/internal/configuration"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/partition"
 	"saltreel/internal/placement"
-	"saltreel/internal/quota"
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
@@ -187,20 +184,3 @@
 		t.Errorf("%v", err)
 	}
 }
-
-func TestByteLimits(t *testing.T) {
-	tenants := []*configuration.Tenant{{Name: "limited", RatePerS: 10}, {Name: "unlimited"}}
-	for _, c := range []struct {
-		limits *configuration.Limits
-		want   map[quota.Entity]float64
-	}{
-		{&configuration.Limits{MaxBodyBytes: 1000}, map[quota.Entity]float64{{Tenant: "limited"}: 10000}},
-		{&configuration.Limits{}, nil},
-		{nil, nil},
-	} {
-		table := configuration.NewTable(&configuration.Configuration{TenantTable: tenants, Limits: c.limits})
-		if got := ByteLimits(table); !maps.Equal(got, c.want) {
-			t.Errorf("%v: %v", c.limits, got)
-		}
-	}
-}
--- a/internal/store/timing.go
+++ b/internal/store/timing.go
@@ -1,6 +1,10 @@
 package store
 
-import "time"
+import (
+	"time"
+
+	"saltreel/internal/settings"
+)
 
 // timing derives the times of a store from the contact timeout and from the grace
 // period, in which a process that is to stop has to end.
@@ -9,6 +13,10 @@
 	grace          time.Duration
 }
 
+func newTiming(set *settings.Settings) timing {
+	return timing{contactTimeout: set.Contact(), grace: settings.Seconds(set.Timers.GraceS)}
+}
+
 // dial is how long opening a connection to an endpoint may take.
 func (t timing) dial() time.Duration { return t.contactTimeout / 16 }
 
