partition: messages of topics are entries of a log in the partition

Placement, epochs, replication, anti-entropy, handover and grouped syncs are those of deferred messages. An entry has a position (epoch, order), never changes, and is released to the consumer once the disks of all replicas hold it and all before it. Entries that a replica holds and the primary lacks are deleted there: nobody confirmed them. A primary that restarts in its epoch leaves a gap in its numbers, so that no position is given twice. A publisher's number that is stored is not stored again; one below an accepted number is refused for good.

--- a/internal/partition/accept.go
+++ b/internal/partition/accept.go
@@ -27,9 +27,35 @@
 // all backups, Config.Backups or more, hold it. An *UnconfirmedError says that it
 // may have been stored; after any other error it was not stored.
 func (m *Manager) Accept(ctx context.Context, n int, r *Record) error {
+	return m.AcceptAll(ctx, n, []*Record{r})[0]
+}
+
+// AcceptAll accepts messages of one partition in their order. The errors are those
+// of Accept, for each message.
+func (m *Manager) AcceptAll(ctx context.Context, n int, records []*Record) []error {
+	attempts := make([]acceptAttempt, len(records))
+	for i, r := range records {
+		attempts[i].wait, attempts[i].err = m.tryAccept(n, r, false)
+	}
+	errs := make([]error, len(records))
+	for i, r := range records {
+		errs[i] = m.awaitAccept(ctx, n, r, attempts[i])
+	}
+	return errs
+}
+
+// acceptAttempt is the outcome of a first tryAccept.
+type acceptAttempt struct {
+	wait acceptWait
+	err  error
+}
+
+// awaitAccept waits until a message is accepted, and tries again where that may
+// help.
+func (m *Manager) awaitAccept(ctx context.Context, n int, r *Record, attempt acceptAttempt) error {
 	mayBeStored := false
 	for {
-		wait, err := m.tryAccept(n, r, mayBeStored)
+		wait, err := attempt.wait, attempt.err
 		if err != nil {
 			return err
 		}
@@ -46,6 +72,7 @@
 		case <-ctx.Done():
 			return notAccepted(n, mayBeStored)
 		}
+		attempt.wait, attempt.err = m.tryAccept(n, r, mayBeStored)
 	}
 }
 
@@ -58,7 +85,7 @@
 }
 
 // tryAccept stores a message, unless it is stored already or cannot be now, and
-// returns what to wait for.
+// returns what to wait for. Messages are stored in the order of the calls.
 func (m *Manager) tryAccept(n int, r *Record, mayBeStored bool) (acceptWait, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -66,13 +93,19 @@
 		return acceptWait{}, notAccepted(n, mayBeStored)
 	}
 	p := m.partitions[n]
-	stored, accept := p.records.byID[r.ID], p.unconfirmed[r.ID]
+	stored := p.stored(r)
+	var accept *pendingAccept
+	if stored != nil {
+		accept = p.unconfirmed[stored.ID]
+	}
 	switch {
 	case stored == nil && mayBeStored: // it expired, or another primary may have it
 		return acceptWait{}, notAccepted(n, mayBeStored)
 	case stored == nil && p.handover.acceptsStopped:
 		return acceptWait{changed: p.changed}, nil
-	case stored != nil && stored.Tenant != r.Tenant:
+	case stored == nil && r.IsEntry() && p.log.isSuperseded(r):
+		return acceptWait{}, ErrSuperseded
+	case stored != nil && stored.Tenant != r.Tenant && !r.IsEntry():
 		return acceptWait{}, ErrIDConflict
 	case stored != nil && accept == nil:
 		return m.awaitVerificationLocked(p), nil
@@ -115,6 +148,10 @@
 func (m *Manager) startAcceptLocked(p *partition, r *Record) *pendingAccept {
 	r.Partition = p.number
 	r.Order = p.records.sequence + 1
+	if r.IsEntry() {
+		r.ID = entryID(Position{p.epoch, r.Order})
+		r.Previous = p.log.last[r.Topic]
+	}
 	accept := &pendingAccept{record: r, onBackupDisk: map[string]bool{}, done: make(chan struct{})}
 	p.unconfirmed[r.ID] = accept
 	m.commitLocked(p, r, func() {
@@ -123,6 +160,9 @@
 		accept.onLocalDisk = true
 		m.confirmLocked(p, accept)
 	})
+	if r.IsEntry() {
+		p.log.append(r)
+	}
 	return accept
 }
 
@@ -148,7 +188,10 @@
 	id := accept.record.ID
 	delete(p.unconfirmed, id)
 	close(accept.done)
-	if p.records.isPending(id) {
+	switch {
+	case accept.record.IsEntry():
+		m.releaseEntriesLocked(p)
+	case p.records.isPending(id):
 		m.events.push(Event{Partition: p.number, Records: []*Record{p.records.byID[id]}})
 	}
 }
--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -70,6 +70,7 @@
 	}
 	if r := p.replica(peer); r != nil {
 		toSend = r.queueMissing(&p.records, theirs)
+		toSend += m.removeUnknownEntriesLocked(p, theirs)
 	}
 	toFetch = p.records.lacking(theirs)
 	m.wakeReplicatorLocked(peer)
@@ -87,11 +88,12 @@
 	return states
 }
 
-// lacking lists the records that are not here, or only in an earlier state.
+// lacking lists the deferred messages that are not here, or only in an earlier
+// state.
 func (s *recordSet) lacking(theirs map[string]State) []string {
 	var lacking []string
 	for id, state := range theirs {
-		if r := s.byID[id]; r == nil || r.State < state {
+		if r := s.byID[id]; !isEntryID(id) && (r == nil || r.State < state) {
 			lacking = append(lacking, id)
 		}
 	}
--- a/internal/partition/assignment.go
+++ b/internal/partition/assignment.go
@@ -78,6 +78,7 @@
 		for _, accept := range p.unconfirmed {
 			m.confirmLocked(p, accept)
 		}
+		m.releaseEntriesLocked(p)
 	case wasPrimary:
 		m.losePrimaryLocked(p)
 	}
@@ -86,8 +87,17 @@
 	}
 }
 
+// sequenceGap is more than the changes that one process makes in an epoch.
+const sequenceGap = int64(1) << 32
+
 func (m *Manager) becomePrimaryLocked(p *partition, assignment placement.Partition, former string) {
+	if m.previousEpochs[p.number] == p.epoch {
+		// An earlier process may have led it in this epoch, and given numbers to
+		// changes that its disk lacks and a replica holds.
+		p.records.sequence += sequenceGap
+	}
 	m.events.push(Event{Partition: p.number, BecamePrimary: true, Records: p.pending()})
+	m.becomeLogPrimaryLocked(p)
 	// A former primary that handed the partition over is a backup now, and holds
 	// nothing that is not here. One that is none was taken for failed.
 	if _, known := m.placement.Stores[former]; known && assignment.BackupIndex(former) < 0 {
@@ -97,6 +107,7 @@
 
 func (m *Manager) losePrimaryLocked(p *partition) {
 	p.granted.end()
+	p.log = nil
 	clear(p.unconfirmed) // the accepts that wait see the change of the partition
 	m.events.push(Event{Partition: p.number, LostPrimary: true})
 }
--- a/internal/partition/errors.go
+++ b/internal/partition/errors.go
@@ -14,6 +14,9 @@
 	ErrStoreFull = errors.New("this store is full")
 	// ErrIDConflict says that the identifier belongs to a message of another tenant.
 	ErrIDConflict = errors.New("another tenant's message has this id")
+	// ErrSuperseded says that a publisher's number was not accepted, and that a
+	// higher one of its topic was: it never will be accepted.
+	ErrSuperseded = errors.New("a later number of this publisher was accepted")
 	// ErrUnknownMessage says that no replica that answered has the message.
 	ErrUnknownMessage = errors.New("no such message")
 	// ErrIndeterminate says that this store cannot be sure that there is no such
@@ -59,6 +62,16 @@
 	return fmt.Sprintf("partition %d: too few stores answered in time", e.Partition)
 }
 
+// CertainlyNotStored reports whether an error of Accept says that the call did not
+// store the message.
+func CertainlyNotStored(err error) bool {
+	switch StatusCode(err) {
+	case 409, 421, 503:
+		return true
+	}
+	return false
+}
+
 // StatusCode is the HTTP status by which an error of this package is answered to
 // another process, or 0 where the error is not of this package. docs/calls.md
 // lists the codes.
@@ -73,7 +86,7 @@
 		return 400
 	case errors.Is(err, ErrUnknownMessage):
 		return 404
-	case errors.Is(err, ErrIDConflict):
+	case errors.Is(err, ErrIDConflict), errors.Is(err, ErrSuperseded):
 		return 409
 	case errors.Is(err, ErrDiskRefusesWrites), errors.Is(err, ErrUnknownPartition), errors.As(err, &notPrimary):
 		return 421
--- a/internal/partition/events.go
+++ b/internal/partition/events.go
@@ -3,9 +3,11 @@
 // Event tells the delivery what changed, in order.
 type Event struct {
 	Partition     int
-	BecamePrimary bool      // this store is the primary from now on; Records are all that are pending
+	BecamePrimary bool      // this store is the primary from now on; Records are all deferred ones that are pending
 	LostPrimary   bool      // it is the primary no longer
-	Records       []*Record // messages to deliver
+	Records       []*Record // deferred messages to deliver
+	LogReady      bool      // the entries found here when it became primary follow in Entries
+	Entries       []*Record // of the log, which enough disks hold, in order
 }
 
 // eventQueue is the events that the delivery has not yet received. It has no
--- a/internal/partition/maintenance.go
+++ b/internal/partition/maintenance.go
@@ -27,8 +27,8 @@
 	m.usage.full = full
 }
 
-// deleteExpired deletes the records of ended messages that are past their time,
-// until ctx ends.
+// deleteExpired deletes the records of ended messages and the log entries that are
+// past their time, until ctx ends.
 func (m *Manager) deleteExpired(ctx context.Context) {
 	ticker := time.NewTicker(m.timing.expirySweep())
 	defer ticker.Stop()
@@ -53,10 +53,11 @@
 
 func (m *Manager) deleteExpiredLocked(p *partition, now int64) {
 	for _, r := range p.records.byID {
-		if r.State != Pending && r.Expires < now {
+		if (r.State != Pending || r.IsEntry()) && r.Expires < now {
 			m.commitLocked(p, &Record{ID: r.ID, Partition: p.number, State: Deleted}, nil)
 		}
 	}
+	p.log.removeDeleted(&p.records)
 }
 
 // monitorDisk reports this store itself while its disk is not healthy, until ctx
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -22,6 +22,7 @@
 	replicas    []*replica
 	unconfirmed map[string]*pendingAccept
 	handover    handoverState
+	log         *topicLog
 
 	// At a backup, and afterwards until it becomes primary and the lease ends:
 	granted grantedLease
@@ -104,11 +105,21 @@
 	}
 }
 
-// pending returns the messages that have not ended, in the order of their arrival.
+// stored returns the record of the message that r is; nil if there is none. A log
+// entry is known by its publisher's number.
+func (p *partition) stored(r *Record) *Record {
+	if r.IsEntry() {
+		return p.log.find(r)
+	}
+	return p.records.byID[r.ID]
+}
+
+// pending returns the deferred messages that have not ended, in the order of their
+// arrival.
 func (p *partition) pending() []*Record {
 	var pending []*Record
 	for _, r := range p.records.byID {
-		if r.State == Pending {
+		if r.State == Pending && !r.IsEntry() {
 			pending = append(pending, r)
 		}
 	}
--- a/internal/partition/record.go
+++ b/internal/partition/record.go
@@ -25,24 +25,28 @@
 // Record is a message as a store holds it. Records are shared between
 // goroutines and immutable: a change makes a new one.
 type Record struct {
-	ID        string `json:"id"`
-	Sequence  int64  `json:"q"`           // of the last change
-	Epoch     int64  `json:"e"`           // under which it was made
-	Order     int64  `json:"o,omitempty"` // the position among the messages of its partition
-	State     State  `json:"st,omitempty"`
-	Tenant    string `json:"t,omitempty"`
-	Method    string `json:"m,omitempty"`
-	Target    string `json:"u,omitempty"`
-	Host      string `json:"h,omitempty"`
-	Type      string `json:"c,omitempty"` // content type
-	OrderKey  string `json:"k,omitempty"`
-	Due       int64  `json:"d,omitempty"` // wall clock, ms
-	Expires   int64  `json:"x,omitempty"` // end of retention, or of the time that an ended state is retained; wall clock, ms
-	Revision  int64  `json:"r,omitempty"` // configuration under which it was accepted
-	Seal      string `json:"s,omitempty"`
-	Length    int    `json:"n,omitempty"` // of the body, which follows the JSON
-	Body      []byte `json:"-"`
-	Partition int    `json:"-"`
+	ID        string   `json:"id"`
+	Sequence  int64    `json:"q"`           // of the last change
+	Epoch     int64    `json:"e"`           // under which it was made
+	Order     int64    `json:"o,omitempty"` // the position among the messages of its partition
+	State     State    `json:"st,omitempty"`
+	Tenant    string   `json:"t,omitempty"`
+	Method    string   `json:"m,omitempty"`
+	Target    string   `json:"u,omitempty"`
+	Host      string   `json:"h,omitempty"`
+	Type      string   `json:"c,omitempty"` // content type
+	OrderKey  string   `json:"k,omitempty"`
+	Due       int64    `json:"d,omitempty"` // wall clock, ms
+	Expires   int64    `json:"x,omitempty"` // end of retention, or of the time that an ended state is retained; wall clock, ms
+	Revision  int64    `json:"r,omitempty"` // configuration under which it was accepted
+	Seal      string   `json:"s,omitempty"`
+	Topic     string   `json:"tp,omitempty"` // of a log entry
+	Publisher string   `json:"pb,omitempty"` // of a log entry: the client
+	Number    int64    `json:"pn,omitempty"` // of a log entry: the client's number of it
+	Previous  Position `json:"pv,omitzero"`  // of a log entry: that of the topic before it
+	Length    int      `json:"n,omitempty"`  // of the body, which follows the JSON
+	Body      []byte   `json:"-"`
+	Partition int      `json:"-"`
 }
 
 // supersedes reports whether r is to replace old.
--- a/internal/partition/replicator.go
+++ b/internal/partition/replicator.go
@@ -234,7 +234,9 @@
 		}
 		m.acknowledgeLocked(sent)
 		m.renewLeaseLocked(sent, sentAt)
-		if m.verifyLocked(sent, result) {
+		newlyInSync := m.verifyLocked(sent, result)
+		m.releaseEntriesLocked(sent.partition)
+		if newlyInSync {
 			report.Replicas = append(report.Replicas, placement.Replica{
 				Partition: sent.partition.number,
 				Epoch:     sent.epoch,
--- /dev/null
+++ b/internal/partition/topiclog.go
@@ -0,0 +1,193 @@
+package partition
+
+import (
+	"slices"
+	"strings"
+)
+
+// A partition holds messages of two kinds. A deferred message has a state and
+// ends. A message of a topic is an entry of the partition's log: it never changes
+// and is deleted once its retention is over. The rules of replication are the
+// same for both, but for one: the primary alone decides which entries there are.
+// One that a replica holds and the primary lacks was confirmed by no primary, so
+// it is deleted there, where a deferred message would be taken over.
+
+// entryIDPrefix begins the identifiers of log entries. No deferred message has
+// such a one: an attempt id holds no space.
+const entryIDPrefix = " log/"
+
+// entryID is the identifier of the log entry at a position.
+func entryID(at Position) string { return entryIDPrefix + at.String() }
+
+func isEntryID(id string) bool { return strings.HasPrefix(id, entryIDPrefix) }
+
+// IsEntry reports whether the record is an entry of the log.
+func (r *Record) IsEntry() bool { return r.Topic != "" }
+
+// Position is the place of a log entry.
+func (r *Record) Position() Position { return Position{r.Epoch, r.Order} }
+
+// publisherTopic is a publisher on one topic. Its numbers rise along the log.
+type publisherTopic struct{ publisher, topic string }
+
+// publication identifies what a publisher published: a number that comes again is
+// the same message.
+type publication struct {
+	publisherTopic
+	number int64
+}
+
+func (r *Record) publisherTopic() publisherTopic { return publisherTopic{r.Publisher, r.Topic} }
+
+func (r *Record) publication() publication { return publication{r.publisherTopic(), r.Number} }
+
+// topicLog is the log of a partition at its primary. It has no lock: the Manager's
+// mu guards it.
+type topicLog struct {
+	entries  []*Record // by position
+	byNumber map[publication]*Record
+	newest   map[publisherTopic]int64 // the highest number in entries
+	last     map[string]Position      // of each topic; also if the entry is deleted by now
+
+	onDisk    bool // this store's disk has the entries found when it became primary
+	recovered bool // all replicas hold the entries found when it became primary
+	released  int  // how many of entries have gone to the consumer
+}
+
+// newTopicLog makes the log of a new primary from the records that it holds. The
+// numbers of a publisher on a topic must rise along it. They don't where a primary
+// lost entries that no disk of its own had, restarted and accepted them again
+// while a replica still held the first ones: those that repeat are returned, to
+// be deleted. What was delivered is never among them: a primary delivers nothing
+// until its replicas hold what it holds and no more.
+func newTopicLog(records *recordSet) (l *topicLog, repeated []*Record) {
+	l = &topicLog{
+		byNumber: map[publication]*Record{},
+		newest:   map[publisherTopic]int64{},
+		last:     map[string]Position{},
+	}
+	var found []*Record
+	for _, r := range records.byID {
+		if r.IsEntry() {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b *Record) int { return a.Position().Compare(b.Position()) })
+	for _, r := range found {
+		if l.isSuperseded(r) {
+			repeated = append(repeated, r)
+			continue
+		}
+		l.append(r)
+	}
+	return l, repeated
+}
+
+// append adds an entry behind all others.
+func (l *topicLog) append(r *Record) {
+	l.entries = append(l.entries, r)
+	l.byNumber[r.publication()] = r
+	l.newest[r.publisherTopic()] = r.Number
+	l.last[r.Topic] = r.Position()
+}
+
+// find returns the entry of the same publication as r; nil if there is none.
+func (l *topicLog) find(r *Record) *Record { return l.byNumber[r.publication()] }
+
+// isSuperseded reports whether the publisher's numbers on the topic have passed
+// that of r, or reached it.
+func (l *topicLog) isSuperseded(r *Record) bool {
+	newest, ok := l.newest[r.publisherTopic()]
+	return ok && r.Number <= newest
+}
+
+// release returns the entries that may be delivered and were not returned before:
+// in order, up to the first that waits for disks.
+func (l *topicLog) release(isUnconfirmed func(id string) bool) []*Record {
+	first := l.released
+	for l.released < len(l.entries) && !isUnconfirmed(l.entries[l.released].ID) {
+		l.released++
+	}
+	return l.entries[first:l.released:l.released]
+}
+
+// maxIdleTopics bounds the topics without entries whose last position is known.
+const maxIdleTopics = 1 << 17
+
+// removeDeleted drops the entries that the record set has no more.
+func (l *topicLog) removeDeleted(records *recordSet) {
+	var remaining []*Record
+	released := l.released
+	for i, r := range l.entries {
+		if records.byID[r.ID] != nil {
+			remaining = append(remaining, r)
+			continue
+		}
+		if i < l.released {
+			released--
+		}
+		delete(l.byNumber, r.publication())
+		if l.newest[r.publisherTopic()] == r.Number {
+			delete(l.newest, r.publisherTopic())
+		}
+	}
+	l.entries, l.released = remaining, released
+	if len(l.last) > maxIdleTopics+len(l.entries) {
+		clear(l.last)
+		for _, r := range l.entries {
+			l.last[r.Topic] = r.Position()
+		}
+	}
+}
+
+// becomeLogPrimaryLocked makes the log of a partition that this store leads from
+// now on. Its entries are released once this disk and all replicas hold them.
+func (m *Manager) becomeLogPrimaryLocked(p *partition) {
+	log, repeated := newTopicLog(&p.records)
+	p.log = log
+	for _, r := range repeated {
+		m.commitLocked(p, &Record{ID: r.ID, Partition: p.number, State: Deleted}, nil)
+	}
+	m.storage.afterSync(func() {
+		m.background.tasks.Go(func() { // the caller of afterSync may hold mu
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if p.log == log {
+				log.onDisk = true
+				m.releaseEntriesLocked(p)
+			}
+		})
+	})
+}
+
+// releaseEntriesLocked gives the entries that enough disks hold to the consumer.
+// So no cursor names what a failover may lose.
+func (m *Manager) releaseEntriesLocked(p *partition) {
+	log := p.log
+	if log == nil {
+		return
+	}
+	if !log.recovered {
+		if !log.onDisk || len(p.replicas) < m.config.Backups || !p.allVerified() {
+			return
+		}
+		log.recovered = true
+		m.events.push(Event{Partition: p.number, LogReady: true})
+	}
+	entries := log.release(func(id string) bool { return p.unconfirmed[id] != nil })
+	if len(entries) > 0 {
+		m.events.push(Event{Partition: p.number, Entries: entries})
+	}
+}
+
+// removeUnknownEntriesLocked deletes the entries that a replica holds and this
+// primary lacks: nobody confirmed them, and nobody will.
+func (m *Manager) removeUnknownEntriesLocked(p *partition, theirs map[string]State) (removed int) {
+	for id, state := range theirs {
+		if isEntryID(id) && state != Deleted && p.records.byID[id] == nil {
+			m.commitLocked(p, &Record{ID: id, Partition: p.number, State: Deleted}, nil)
+			removed++
+		}
+	}
+	return removed
+}
