gateway, broker: topics of realtime clients, on the control side that is there

Two roles of saltreel-data for deployments of the kind live. A broker is the workload of a store: it keeps the order of the topics whose partitions it leads, and sends each message once to each gateway that follows the topic.

--- a/cmd/saltreel-data/main.go
+++ b/cmd/saltreel-data/main.go
@@ -1,5 +1,6 @@
 // Command saltreel-data runs the data plane: edges that take messages in and
-// stores that keep and deliver them.
+// stores that keep and deliver them; gateways of realtime clients and brokers of
+// their topics.
 package main
 
 import (
@@ -9,7 +10,9 @@
 
 	"github.com/spf13/cobra"
 
+	"saltreel/internal/broker"
 	"saltreel/internal/edge"
+	"saltreel/internal/gateway"
 	"saltreel/internal/handler"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/platform"
@@ -27,7 +30,13 @@
 		platform.RoleCommand("store", "Run a store: durable partitions, delivery to handlers", signals, func(ctx context.Context, set *settings.Settings, logger *log.Logger) (platform.Process, error) {
 			return store.New(ctx, set, httpwire.TCP(), logger)
 		}),
-		platform.CheckCommand("edge", "store"),
+		platform.RoleCommand("gateway", "Run a gateway: connections of realtime clients, subscriptions, admission", signals, func(_ context.Context, set *settings.Settings, logger *log.Logger) (platform.Process, error) {
+			return gateway.New(set, httpwire.TCP(), logger), nil
+		}),
+		platform.RoleCommand("broker", "Run a broker: durable topics, their order, what gateways follow", signals, func(ctx context.Context, set *settings.Settings, logger *log.Logger) (platform.Process, error) {
+			return store.NewWith(ctx, set, httpwire.TCP(), logger, broker.NewWorkload)
+		}),
+		platform.CheckCommand("edge", "store", "gateway", "broker"),
 		platform.HandlesSignals(&cobra.Command{Use: "sink ADDRESS", Short: "Run a handler that takes every message and prints it, for trying things out", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				ctx, cancel := platform.StopContext(signals)
--- /dev/null
+++ b/internal/broker/calls.go
@@ -0,0 +1,190 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"saltreel/internal/partition"
+	"saltreel/internal/topic"
+)
+
+// handlePublish stores messages of a publisher, and answers when their outcome is
+// known or the gateway waits no longer.
+func (b *Broker) handlePublish(ctx context.Context, in *topic.PublishRequest, raw []byte) (*topic.PublishResponse, error) {
+	records, err := b.recordsOf(in, raw)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
+	defer cancel()
+	out := &topic.PublishResponse{}
+	for _, err := range b.config.Partitions.AcceptAll(ctx, in.Partition, records) {
+		out.Outcomes = append(out.Outcomes, outcomeOf(err))
+	}
+	return out, nil
+}
+
+// recordsOf makes the log entries of a request. Their times are this store's.
+func (b *Broker) recordsOf(in *topic.PublishRequest, raw []byte) ([]*partition.Record, error) {
+	expires := b.config.Partitions.Now() + in.RetentionMs + b.timing.extraRetention().Milliseconds()
+	var records []*partition.Record
+	for _, m := range in.Messages {
+		if m.Length < 0 || m.Length > len(raw) {
+			return nil, topic.ErrTruncated
+		}
+		records = append(records, &partition.Record{
+			Topic: in.Topic, Publisher: in.Publisher, Number: m.Number, Tenant: in.Tenant,
+			Expires: expires, Body: raw[:m.Length:m.Length],
+		})
+		raw = raw[m.Length:]
+	}
+	return records, nil
+}
+
+// outcomeOf maps the error of an accept to the outcome for the publisher.
+func outcomeOf(err error) topic.Outcome {
+	switch {
+	case err == nil:
+		return topic.Accepted
+	case errors.Is(err, partition.ErrSuperseded):
+		return topic.Superseded
+	case partition.CertainlyNotStored(err):
+		return topic.NotStored
+	default:
+		return topic.Indeterminate
+	}
+}
+
+// handleFollow changes what a gateway follows.
+func (b *Broker) handleFollow(_ context.Context, in *topic.FollowRequest, _ []byte) (*topic.FollowResponse, []byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if in.Begin {
+		b.endSessionLocked(in.Gateway)
+		b.sessions[in.Gateway] = newSession(in.Session)
+	}
+	s := b.sessions[in.Gateway]
+	if s == nil || s.id != in.Session || s.ended {
+		return &topic.FollowResponse{Unknown: true}, nil, nil
+	}
+	s.lastSeen = time.Now()
+	for _, name := range in.Drop {
+		delete(s.topics, name)
+		b.topics.unfollow(name, s)
+	}
+	out := &topic.FollowResponse{}
+	bodies := []byte{}
+	for _, f := range in.Follow {
+		state := topic.TopicState{NotReady: true}
+		if len(bodies) < maxPollBytes { // else the gateway asks again for the rest
+			state = b.followLocked(s, f)
+		}
+		for _, e := range state.Entries {
+			bodies = append(bodies, e.Body...)
+		}
+		out.Topics = append(out.Topics, state)
+	}
+	for name, n := range in.Counts {
+		b.setCountLocked(s, name, n)
+	}
+	return out, bodies, nil
+}
+
+// followLocked makes a session follow a topic: it gets the messages up to End now
+// and later ones by its polls.
+func (b *Broker) followLocked(s *session, f topic.Followed) topic.TopicState {
+	if !b.topics.isReady(f.Partition) {
+		return topic.TopicState{NotReady: true}
+	}
+	t := b.topics.get(f.Partition, f.Topic)
+	s.topics[f.Topic] = true
+	t.followers[s] = true
+	b.setCountLocked(s, f.Topic, f.Subscribers)
+	state := topic.TopicState{End: t.end(), Floor: t.floor}
+	if f.Recent {
+		for _, r := range t.after(f.After) {
+			state.Entries = append(state.Entries, topic.EntryOf(r))
+		}
+	}
+	return state
+}
+
+func (b *Broker) setCountLocked(s *session, name string, subscribers int) {
+	t := b.topics.byName[name]
+	if t == nil {
+		return
+	}
+	if subscribers == 0 {
+		delete(t.subscribers, s)
+		return
+	}
+	t.subscribers[s] = subscribers
+}
+
+// handlePoll answers with the next messages of a session, as soon as there are any.
+func (b *Broker) handlePoll(ctx context.Context, in *topic.PollRequest, _ []byte) (*topic.PollResponse, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
+	defer cancel()
+	s := b.beginPoll(in)
+	if s == nil {
+		return &topic.PollResponse{Unknown: true}, nil, nil
+	}
+	for {
+		out, bodies, changed := b.nextOf(s, ctx.Err() != nil)
+		if out != nil {
+			return out, bodies, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// beginPoll returns the session that a poll is the next of; nil if there is none.
+func (b *Broker) beginPoll(in *topic.PollRequest) *session {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sessions[in.Gateway]
+	if s == nil || s.id != in.Session || s.ended || s.polling || in.Number != s.polled+1 {
+		return nil
+	}
+	s.polled = in.Number
+	s.polling = true
+	return s
+}
+
+// nextOf returns the answer to the poll of a session; nil, and a channel that is
+// closed when to look again, if there is nothing to say and the poll may wait.
+func (b *Broker) nextOf(s *session, waitIsOver bool) (*topic.PollResponse, []byte, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !s.ended && !waitIsOver && len(s.outbox) == 0 && len(s.lost) == 0 {
+		return nil, nil, s.changed
+	}
+	s.polling = false
+	s.lastSeen = time.Now()
+	out := &topic.PollResponse{Unknown: s.ended, Lost: s.lost}
+	s.lost = nil
+	bodies := []byte{}
+	for _, r := range s.take() {
+		out.Entries = append(out.Entries, topic.EntryOf(r))
+		bodies = append(bodies, r.Body...)
+	}
+	return out, bodies, nil
+}
+
+// handleCount answers how many subscribers a topic has.
+func (b *Broker) handleCount(_ context.Context, in *topic.CountRequest, _ []byte) (*topic.CountResponse, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.topics.isReady(in.Partition) {
+		return nil, errNotReady
+	}
+	out := &topic.CountResponse{}
+	if t := b.topics.byName[in.Topic]; t != nil {
+		out.Count = t.count()
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/gateway/drain.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"saltreel/internal/distribution"
+	"saltreel/internal/journal"
+	"saltreel/internal/linewire"
+	"saltreel/internal/membership"
+)
+
+// neighbors is the other gateways that clients may be sent to.
+type neighbors struct {
+	self  string
+	mu    sync.Mutex
+	nodes map[string]membership.Node // by name
+}
+
+func newNeighbors(self string) neighbors {
+	return neighbors{self: self, nodes: map[string]membership.Node{}}
+}
+
+// applyEvent follows the nodes of the zone.
+func (n *neighbors) applyEvent(e journal.Event) {
+	name, ok := strings.CutPrefix(e.Key, distribution.PrefixNode)
+	if !ok {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node := journal.Decode[membership.Node](e)
+	if e.IsDeleted() || node.Role != nodeRole || node.Draining || node.Name == n.self {
+		delete(n.nodes, name)
+		return
+	}
+	n.nodes[name] = node
+}
+
+// addresses lists where clients reach the other gateways: on all machines at the
+// same port.
+func (n *neighbors) addresses(port string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var addresses []string
+	for _, node := range n.nodes {
+		if host, _, err := net.SplitHostPort(node.Address); err == nil {
+			addresses = append(addresses, net.JoinHostPort(host, port))
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// drain sends the clients to other gateways, one after the other over the time
+// there is, and waits until they are gone. Those that stay are closed when they
+// have the answers that they wait for, or the time is over.
+func (g *Gateway) drain() {
+	g.stopping.Store(true)
+	g.node.Drain()
+	deadline := time.Now().Add(g.timing.drain())
+	g.redirectAll()
+	for _, c := range g.clients.all() {
+		for c.unanswered.Load() > 0 && time.Now().Before(deadline) {
+			time.Sleep(g.timing.retry())
+		}
+		c.outbox.close()
+	}
+	for len(g.clients.all()) > 0 && time.Now().Before(deadline) {
+		time.Sleep(g.timing.retry())
+	}
+}
+
+// redirectAll sends the clients to the other gateways in turn.
+func (g *Gateway) redirectAll() {
+	_, port, err := net.SplitHostPort(g.settings.Listeners.DataPlane)
+	if err != nil {
+		return
+	}
+	addresses := g.neighbors.addresses(port)
+	clients := g.clients.all()
+	if len(addresses) == 0 || len(clients) == 0 {
+		return
+	}
+	pause := g.timing.redirects() / time.Duration(len(clients))
+	for i, c := range clients {
+		c.send(linewire.AppendRedirect(nil, addresses[i%len(addresses)]))
+		time.Sleep(pause)
+	}
+}
--- /dev/null
+++ b/internal/gateway/feed.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"time"
+
+	"saltreel/internal/linewire"
+	"saltreel/internal/partition"
+	"saltreel/internal/topic"
+)
+
+// subscriber gets what a subscription is answered and sent.
+type subscriber interface {
+	// send queues the bytes of a message. It does not block.
+	send(frame []byte)
+	// reject answers a subscription, or ends it.
+	reject(s *subscription, reason linewire.Reason)
+}
+
+// subscription is one topic of one connection.
+type subscription struct {
+	to       subscriber
+	topic    string
+	resumes  bool               // the client gave a cursor
+	cursor   partition.Position // all messages up to here are sent, or not wanted
+	answered bool               // the client knows that it is subscribed
+}
+
+// feed is a topic that the gateway follows: a state machine without I/O. It has to
+// join (joinRequest, joined) and is live then: each message comes once and in order
+// (deliver). Where one is missing, it has to join again. It has no lock: the hub's
+// mu guards it.
+type feed struct {
+	topic     string
+	partition int
+	link      *link // to the broker
+
+	state     feedState
+	request   topic.Followed     // the last that was made
+	early     []topic.Entry      // came while joining
+	earlyLost bool               // more of them came than are kept
+	position  partition.Position // of the last message
+	known     bool               // position is
+	recent    recentMessages
+
+	subscriptions map[*subscription]bool
+	unusedSince   time.Time // when the last of them ended
+	reported      int       // subscribers as the broker was last told
+}
+
+// feedState is how far a feed is.
+type feedState int
+
+const (
+	feedUnjoined feedState = iota // it has to join
+	feedJoining                   // the broker was asked
+	feedLive
+)
+
+func newFeed(name string, number int) *feed {
+	return &feed{topic: name, partition: number, subscriptions: map[*subscription]bool{}}
+}
+
+// add adds a subscription, and answers it if the feed is live and has what it
+// lacks. It reports whether the feed has to join now.
+func (f *feed) add(s *subscription) (join bool) {
+	f.subscriptions[s] = true
+	if f.state == feedLive && s.resumes && f.recent.isTrimmedAfter(s.cursor) {
+		f.rejoin()
+	}
+	if f.state == feedLive {
+		f.answer(s)
+	}
+	return f.state == feedUnjoined
+}
+
+// answer takes up a subscription of a live feed, whose recent messages are enough.
+func (f *feed) answer(s *subscription) {
+	if !s.resumes {
+		s.cursor = f.position
+	}
+	s.answered = true
+	s.to.send(linewire.AppendSubscribeOK(nil, f.topic, s.cursor.String()))
+	f.sendRecent(s)
+}
+
+// sendRecent sends the recent messages that a subscription lacks.
+func (f *feed) sendRecent(s *subscription) {
+	for _, m := range f.recent.after(s.cursor) {
+		s.send(m)
+	}
+}
+
+func (s *subscription) send(m *message) {
+	if m.position.After(s.cursor) {
+		s.cursor = m.position
+		s.to.send(m.frame)
+	}
+}
+
+// joinRequest is what to ask of the broker: the messages that some subscription
+// lacks, and all later ones. subscribers is how many there are.
+func (f *feed) joinRequest(subscribers int) topic.Followed {
+	r := topic.Followed{Topic: f.topic, Partition: f.partition, Recent: f.known, After: f.position, Subscribers: subscribers}
+	for s := range f.subscriptions {
+		if s.answered || !s.resumes || f.known && !f.recent.isTrimmedAfter(s.cursor) {
+			continue
+		}
+		if !r.Recent || r.After.After(s.cursor) {
+			r.Recent, r.After = true, s.cursor
+		}
+	}
+	f.reported = subscribers
+	f.request = r
+	f.state = feedJoining
+	return r
+}
+
+// joined takes what the broker answered to the last joinRequest. It reports whether
+// the feed has to join again.
+func (f *feed) joined(state topic.TopicState) (again bool) {
+	f.rebuildRecent(state)
+	if !f.known || state.End.After(f.position) {
+		f.position = state.End
+	}
+	f.known = true
+	again = f.earlyLost
+	for s := range f.subscriptions {
+		again = f.resume(s, state.Floor) || again
+	}
+	f.recent.trim()
+	early := f.early
+	f.early, f.earlyLost = nil, false
+	f.state = feedLive
+	for _, e := range early {
+		again = f.deliver(e) || again
+	}
+	if again {
+		f.rejoin()
+	}
+	return again
+}
+
+// rebuildRecent takes over the messages of the broker's answer. Without a gap to
+// those that are here they are added; else they replace them.
+func (f *feed) rebuildRecent(state topic.TopicState) {
+	from := f.request.After
+	if !f.request.Recent {
+		from = state.End
+	}
+	if state.Floor.After(from) {
+		from = state.Floor
+	}
+	if !f.known || from != f.position {
+		f.recent = recentMessages{trimmed: from}
+	}
+	for _, e := range state.Entries {
+		f.recent.add(newMessage(e))
+	}
+}
+
+// resume sends a subscription what it lacks after a join, or ends it where that was
+// deleted. It reports whether the feed has to join once more for it.
+func (f *feed) resume(s *subscription, floor partition.Position) (again bool) {
+	switch {
+	case !s.answered && !s.resumes:
+		f.answer(s)
+	case floor.After(s.cursor):
+		delete(f.subscriptions, s)
+		s.to.reject(s, linewire.Expired)
+	case s.answered:
+		f.sendRecent(s)
+	case f.recent.isTrimmedAfter(s.cursor):
+		return true
+	default:
+		f.answer(s)
+	}
+	return false
+}
+
+// maxEarly bounds the messages that are kept while the feed joins. If more come,
+// it joins again.
+const maxEarly = 256
+
+// deliver takes the next message of the broker. It reports whether the feed has to
+// join, since one before it is missing.
+func (f *feed) deliver(e topic.Entry) (join bool) {
+	switch {
+	case f.state == feedUnjoined: // it comes with the answer to the join
+		return false
+	case f.state == feedJoining:
+		f.keepEarly(e)
+		return false
+	case !e.Position.After(f.position): // it came with the answer to a join
+		return false
+	case e.Previous.After(f.position):
+		f.rejoin()
+		return true
+	}
+	m := newMessage(e)
+	f.recent.add(m)
+	f.recent.trim()
+	f.position = e.Position
+	for s := range f.subscriptions {
+		s.send(m)
+	}
+	return false
+}
+
+func (f *feed) keepEarly(e topic.Entry) {
+	if len(f.early) == maxEarly {
+		f.earlyLost = true
+		return
+	}
+	f.early = append(f.early, e)
+}
+
+// rejoin makes the feed join, as when its broker or the session with it changes.
+func (f *feed) rejoin() {
+	f.state = feedUnjoined
+	f.early, f.earlyLost = nil, false
+}
+
+// message is a message of a topic as clients get it.
+type message struct {
+	position partition.Position
+	frame    []byte
+}
+
+func newMessage(e topic.Entry) *message {
+	size := len(e.Topic) + len(e.Publisher) + len(e.Body) + frameOverhead
+	frame := linewire.AppendDeliver(make([]byte, 0, size), e.Topic, e.Position.String(), e.Publisher, e.Number, e.Body)
+	return &message{e.Position, frame}
+}
+
+// frameOverhead is enough for the rest of a DELIVER line.
+const frameOverhead = 64
+
+// recentMessages is the last messages of a topic, for those who come back.
+type recentMessages struct {
+	messages []*message
+	bytes    int
+	trimmed  partition.Position // all messages after it are here
+}
+
+// Bounds of the recent messages of one topic.
+const (
+	maxRecentMessages = 64
+	maxRecentBytes    = 32 << 10
+)
+
+func (r *recentMessages) add(m *message) {
+	r.messages = append(r.messages, m)
+	r.bytes += len(m.frame)
+}
+
+// trim drops the oldest messages while there are more than the bounds allow.
+func (r *recentMessages) trim() {
+	for len(r.messages) > maxRecentMessages || r.bytes > maxRecentBytes && len(r.messages) > 1 {
+		r.trimmed = r.messages[0].position
+		r.bytes -= len(r.messages[0].frame)
+		r.messages[0] = nil
+		r.messages = r.messages[1:]
+	}
+}
+
+// isTrimmedAfter reports whether messages after a position may be missing here.
+func (r *recentMessages) isTrimmedAfter(p partition.Position) bool { return r.trimmed.After(p) }
+
+// after returns the messages after a position.
+func (r *recentMessages) after(p partition.Position) []*message {
+	for i, m := range r.messages {
+		if m.position.After(p) {
+			return r.messages[i:]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,295 @@
+// Package gateway is the process of an edge machine in a deployment of topics: it
+// holds the connections of realtime clients, admits what they publish and hands it
+// to the brokers, and follows at the brokers the topics that its clients subscribe
+// to.
+//
+// feed.go is what becomes of a topic, without I/O; link.go is the session with a
+// broker; client.go is a client's connection.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"saltreel/internal/admission"
+	"saltreel/internal/configuration"
+	"saltreel/internal/distribution"
+	"saltreel/internal/httpwire"
+	"saltreel/internal/journal"
+	"saltreel/internal/linewire"
+	"saltreel/internal/node"
+	"saltreel/internal/platform"
+	"saltreel/internal/quota"
+	"saltreel/internal/ratelimit"
+	"saltreel/internal/rpc"
+	"saltreel/internal/settings"
+)
+
+// nodeRole is the role of a gateway as heartbeats name it: that of any node that
+// serves clients.
+const nodeRole = "edge"
+
+// Gateway is the process of one edge machine.
+type Gateway struct {
+	settings *settings.Settings
+	timing   timing
+	log      *log.Logger
+	network  httpwire.Network
+	started  time.Time
+
+	node       *node.Node
+	hub        *hub
+	caller     *brokerCaller
+	publishers *publishers
+	clients    clientTable
+	neighbors  neighbors
+	leases     *ratelimit.Leases
+	quotas     *admission.Quotas
+	refusals   refusalLog
+
+	stopping    atomic.Bool   // no new clients are wanted
+	changed     chan struct{} // holds a value when the configuration or the placement may be another
+	serving     context.Context
+	stopServing context.CancelFunc
+	background  sync.WaitGroup
+}
+
+// New makes the process; Run starts it.
+func New(set *settings.Settings, network httpwire.Network, logger *log.Logger) *Gateway {
+	g := &Gateway{
+		settings:  set,
+		timing:    newTiming(set),
+		log:       logger,
+		network:   network,
+		started:   time.Now(),
+		node:      node.New(node.Config{Settings: set, Role: nodeRole, Network: network, Log: logger}),
+		clients:   newClientTable(),
+		neighbors: newNeighbors(set.NodeName),
+		quotas:    admission.NewQuotas(set.ProcessorShare()),
+		changed:   make(chan struct{}, 1),
+	}
+	g.serving, g.stopServing = context.WithCancel(context.Background())
+	g.caller = &brokerCaller{node: g.node, timing: g.timing, gateway: set.NodeName}
+	g.hub = newHub(g.timing, g.node.Placement, func(l *link) {
+		g.caller.tasks.Go(func() { l.run(g.serving, g.caller) })
+	})
+	g.publishers = newPublishers(g.serving, g.hub, g.caller)
+	g.leases = ratelimit.NewLeases(g.node.Client, g.node.Placement, set.Contact())
+	g.node.Journal.Subscribe(g.applyEvent)
+	return g
+}
+
+// Reload applies the settings that may change while the process runs.
+func (g *Gateway) Reload(s *settings.Settings) { g.node.Reload(s) }
+
+// uptime is the time since the start, by the steady clock.
+func (g *Gateway) uptime() time.Duration { return time.Since(g.started) }
+
+// applyEvent follows what the control plane distributes.
+func (g *Gateway) applyEvent(e journal.Event) {
+	g.neighbors.applyEvent(e)
+	if e.Key == distribution.KeyPlacement || e.Key == distribution.KeyConfiguration {
+		select {
+		case g.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// ready tells why the process wants no new clients; nil if it does.
+func (g *Gateway) ready() error {
+	switch {
+	case g.stopping.Load():
+		return errors.New("stopping")
+	case g.node.Table() == nil:
+		return errors.New("no configuration is known yet")
+	case g.node.Placement() == nil:
+		return errors.New("no broker is known yet")
+	}
+	return nil
+}
+
+// Run serves until ctx ends, sends the clients to other gateways, and returns. The
+// error is that of a listener that cannot be opened.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer g.stopServing()
+	listeners, err := g.listen()
+	if err != nil {
+		return err
+	}
+	internal := &httpwire.Server{Handle: rpc.Mux{"/news": g.node.Publisher().Handle}.Handle}
+	var tasks sync.WaitGroup
+	for _, task := range []func(){
+		func() { _ = internal.Serve(g.serving, listeners.internal) },
+		func() { g.accept(listeners.clients) },
+		func() { _ = platform.ServeReadiness(g.serving, listeners.readiness, g.ready) },
+		func() { g.node.Run(g.serving) },
+		func() { g.leases.Run(g.serving) },
+		func() { g.quotas.Reap(g.serving) },
+		func() { g.followControl(g.serving) },
+		func() { g.maintain(g.serving) },
+	} {
+		tasks.Go(task)
+	}
+	g.log.Printf("gateway: started")
+	<-ctx.Done()
+	g.log.Printf("gateway: stopping, %d clients", len(g.clients.all()))
+	g.drain()
+	_ = listeners.clients.Close()
+	g.stopServing()
+	tasks.Wait()
+	g.background.Wait()
+	g.caller.tasks.Wait()
+	g.log.Printf("gateway: ended")
+	return nil
+}
+
+// listeners are the sockets of a gateway.
+type listeners struct {
+	internal  net.Listener // for our own processes
+	clients   net.Listener
+	readiness net.Listener // for the platform
+}
+
+func (g *Gateway) listen() (opened listeners, err error) {
+	opened.internal, err = g.network.Listen(g.settings.InternalAddress())
+	if err != nil {
+		return opened, fmt.Errorf("listen for our own processes: %w", err)
+	}
+	opened.clients, err = g.network.Listen(g.settings.Listeners.DataPlane)
+	if err != nil {
+		return opened, fmt.Errorf("listen for clients: %w", err)
+	}
+	opened.readiness, err = g.network.Listen(g.settings.Listeners.Readiness)
+	if err != nil {
+		return opened, fmt.Errorf("listen for readiness: %w", err)
+	}
+	return opened, nil
+}
+
+// acceptRetryDelay is the wait after a failed Accept, for instance when there are
+// too many open files.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// accept serves clients until the listener is closed.
+func (g *Gateway) accept(l net.Listener) {
+	defer context.AfterFunc(g.serving, func() { _ = l.Close() })()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) || g.serving.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		c := newClientConn(g, conn)
+		g.clients.add(c)
+		g.background.Go(func() { c.serve(g.serving) })
+	}
+}
+
+// followControl applies each new configuration and placement, until ctx ends.
+func (g *Gateway) followControl(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.changed:
+		}
+		if g.node.Table() == nil || g.node.Placement() == nil {
+			continue
+		}
+		g.hub.applyPlacement()
+		g.applyConfiguration(g.node.Table())
+	}
+}
+
+// applyConfiguration applies a configuration: it ends the subscriptions whose space
+// or key it does not have.
+func (g *Gateway) applyConfiguration(table *configuration.Table) {
+	if !g.quotas.ApplyLimits(table) {
+		return // it was applied before
+	}
+	for _, c := range g.clients.all() {
+		for _, s := range c.currentSubscriptions() {
+			g.judgeSubscription(s, c.secret)
+		}
+	}
+}
+
+// judgeSubscription ends a subscription that the newest configuration does not
+// allow.
+func (g *Gateway) judgeSubscription(s *subscription, secret string) {
+	if _, reason := judge(g.node.Table(), s.topic, secret, g.settings.HasTenants()); reason != "" {
+		g.hub.end(s, reason)
+	}
+}
+
+// maintain reports counts of subscribers and drops topics without any, until ctx
+// ends.
+func (g *Gateway) maintain(ctx context.Context) {
+	ticker := time.NewTicker(g.timing.countReport())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g.hub.reportCounts()
+		g.hub.dropUnused()
+	}
+}
+
+// checkRate uses up one message of the tenant's limit over all nodes. It returns
+// how long the tenant is over it; 0 if it is not.
+func (g *Gateway) checkRate(ctx context.Context, tenant *configuration.Tenant, space string, deadline time.Time) time.Duration {
+	if tenant.RatePerS <= 0 {
+		return 0
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	g.quotas.Accepted.Record(tenant.Name, space, 1)
+	return g.leases.Acquire(ctx, tenant)
+}
+
+// throttle records what a message used, and returns the longest throttle time X and
+// the quota that asks for it. A tenant that is over its rate is held for accepted.
+func (g *Gateway) throttle(tenant, space string, bytes int, worked, accepted time.Duration) (time.Duration, *quota.Manager) {
+	return g.quotas.RecordRequest(tenant, space, bytes, worked, accepted)
+}
+
+// logRefusal logs that a client sent something unreadable: once in a while, since
+// it may do nothing else.
+func (g *Gateway) logRefusal(c *clientConn, refused *linewire.RefusedError) {
+	if n, ok := g.refusals.next(g.timing.contact); ok {
+		g.log.Printf("gateway: %s of client %q: %v (%d such messages since the last report)", c.conn.RemoteAddr(), c.name, refused, n)
+	}
+}
+
+// refusalLog bounds how often refusals are logged.
+type refusalLog struct {
+	mu    sync.Mutex
+	last  time.Time
+	count int
+}
+
+// next counts a refusal. It reports whether to log it, and how many there were.
+func (l *refusalLog) next(interval time.Duration) (count int, log bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count++
+	if time.Since(l.last) < interval {
+		return 0, false
+	}
+	count = l.count
+	l.last, l.count = time.Now(), 0
+	return count, true
+}
--- /dev/null
+++ b/internal/gateway/hub.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"saltreel/internal/linewire"
+	"saltreel/internal/partition"
+	"saltreel/internal/placement"
+	"saltreel/internal/topic"
+)
+
+// hub is the topics that the gateway follows, and the subscriptions to them. mu
+// guards all of it, the feeds and what the links say of themselves included.
+type hub struct {
+	timing    timing
+	placement func() *placement.Placement // the newest; nil before the first
+	startLink func(l *link)               // begins to work off a new link
+
+	mu    sync.Mutex
+	feeds map[string]*feed // by topic
+	links map[string]*link // by the name of the broker's store
+}
+
+func newHub(timing timing, placement func() *placement.Placement, startLink func(l *link)) *hub {
+	return &hub{
+		timing: timing, placement: placement, startLink: startLink,
+		feeds: map[string]*feed{}, links: map[string]*link{},
+	}
+}
+
+// subscribe adds a subscription, which is answered now or when its broker answers.
+func (h *hub) subscribe(s *subscription) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.feeds[s.topic]
+	if f == nil {
+		f = newFeed(s.topic, h.partitionOf(s.topic))
+		h.feeds[s.topic] = f
+		h.assignLocked(f)
+	}
+	if f.add(s) {
+		f.link.join(f)
+	}
+}
+
+// unsubscribe ends a subscription. Nothing more is sent to it.
+func (h *hub) unsubscribe(s *subscription) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.removeLocked(s)
+}
+
+func (h *hub) removeLocked(s *subscription) {
+	if f := h.feeds[s.topic]; f != nil {
+		delete(f.subscriptions, s)
+		if len(f.subscriptions) == 0 {
+			f.unusedSince = time.Now()
+		}
+	}
+}
+
+// end ends a subscription that the client did not end, and says why: to a SUBSCRIBE
+// that waits for its answer, or unasked.
+func (h *hub) end(s *subscription, reason linewire.Reason) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.feeds[s.topic]
+	if f == nil || !f.subscriptions[s] {
+		return
+	}
+	h.removeLocked(s)
+	s.to.reject(s, reason)
+}
+
+// partitionOf is the partition of a topic. There is a placement before any client.
+func (h *hub) partitionOf(name string) int {
+	return topic.PartitionOf(name, len(h.placement().Partitions))
+}
+
+// primaryOf is the name and the address of the store that leads a partition.
+func (h *hub) primaryOf(number int) (name, address string) {
+	p := h.placement()
+	name = p.Partitions[number].Primary
+	return name, p.Stores[name].Address
+}
+
+// assignLocked gives a feed to the link of its broker.
+func (h *hub) assignLocked(f *feed) {
+	name, address := h.primaryOf(f.partition)
+	l := h.links[name]
+	if l == nil {
+		l = newLink(h, name)
+		h.links[name] = l
+		defer h.startLink(l)
+	}
+	l.address = address
+	f.link = l
+	l.feeds[f.topic] = f
+}
+
+// applyPlacement gives the feeds whose broker is another one by now to its link.
+func (h *hub) applyPlacement() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, f := range h.feeds {
+		name, address := h.primaryOf(f.partition)
+		if f.link.store == name {
+			f.link.address = address
+			continue
+		}
+		f.link.leave(f)
+		h.assignLocked(f)
+		f.rejoin()
+		f.link.join(f)
+	}
+	for _, l := range h.links {
+		l.retryNow()
+	}
+}
+
+// dropUnused stops to follow the topics that nobody subscribes to any more.
+func (h *hub) dropUnused() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, f := range h.feeds {
+		if len(f.subscriptions) == 0 && time.Since(f.unusedSince) > h.timing.unusedFeed() {
+			delete(h.feeds, name)
+			f.link.leave(f)
+		}
+	}
+}
+
+// reportCounts has the brokers told how many subscribers there are, where that
+// changed.
+func (h *hub) reportCounts() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, f := range h.feeds {
+		if n := f.subscribers(); n != f.reported && f.state == feedLive {
+			f.reported = n
+			f.link.setCount(f.topic, n)
+		}
+	}
+}
+
+// presence is implemented by a subscriber that may be gone without a word.
+type presence interface{ isPresent() bool }
+
+// subscribers counts the subscriptions of those who are there.
+func (f *feed) subscribers() int {
+	n := 0
+	for s := range f.subscriptions {
+		if p, ok := s.to.(presence); !ok || p.isPresent() {
+			n++
+		}
+	}
+	return n
+}
+
+// cursorOf reads the cursor of a SUBSCRIBE; ok is false if no message has it.
+func cursorOf(text string) (cursor partition.Position, ok bool) {
+	cursor, err := partition.ParsePosition(text)
+	return cursor, err == nil
+}
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,266 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"saltreel/internal/topic"
+)
+
+// link is what the gateway follows at one broker: a session of calls that change
+// what is followed, one at a time, and of polls, one at a time. If any of them
+// fails, the session ends and a new one begins, in which each topic is followed
+// from its last message on: so nothing is missed, whatever was lost on the way.
+//
+// The hub's mu guards all fields but the channels.
+type link struct {
+	hub     *hub
+	store   string // the broker
+	address string
+
+	feeds     map[string]*feed // that this broker leads
+	pending   map[string]*feed // that are to join
+	drops     map[string]bool  // topics that are to be dropped
+	counts    map[string]int   // of subscribers, that are to be reported
+	notBefore time.Time        // no call is made earlier, after a failure
+
+	session session
+	wake    chan struct{} // holds a value when there may be something to do
+}
+
+// session is one session of a link.
+type session struct {
+	id    string
+	begun bool               // the broker knows it
+	end   context.CancelFunc // of its polls; nil before they run
+}
+
+func newLink(h *hub, store string) *link {
+	return &link{
+		hub: h, store: store,
+		feeds: map[string]*feed{}, pending: map[string]*feed{}, drops: map[string]bool{}, counts: map[string]int{},
+		session: session{id: rand.Text()},
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+func (l *link) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// join has a feed of this broker join.
+func (l *link) join(f *feed) {
+	delete(l.drops, f.topic)
+	l.pending[f.topic] = f
+	l.wakeUp()
+}
+
+// leave has the broker told that a feed is followed here no longer.
+func (l *link) leave(f *feed) {
+	delete(l.feeds, f.topic)
+	delete(l.pending, f.topic)
+	delete(l.counts, f.topic)
+	l.drops[f.topic] = true
+	l.wakeUp()
+}
+
+func (l *link) setCount(topic string, n int) {
+	l.counts[topic] = n
+	l.wakeUp()
+}
+
+// retryNow ends the delay after a failure.
+func (l *link) retryNow() {
+	if !l.notBefore.IsZero() {
+		l.notBefore = time.Time{}
+		l.wakeUp()
+	}
+}
+
+// run works off the link until ctx ends.
+func (l *link) run(ctx context.Context, caller *brokerCaller) {
+	defer l.reset("")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		}
+		for ctx.Err() == nil {
+			request, address, delay := l.nextRequest()
+			if delay > 0 {
+				l.waitForRetry(ctx, delay)
+				continue
+			}
+			if request == nil {
+				break
+			}
+			l.follow(ctx, caller, address, request)
+		}
+	}
+}
+
+// waitForRetry waits for a delay, or until the link is woken.
+func (l *link) waitForRetry(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-ctx.Done():
+	}
+}
+
+// maxFollowed bounds the topics in one call.
+const maxFollowed = 512
+
+// nextRequest makes the next call; nil if there is nothing to say. If it is too
+// early for one, it returns how long to wait.
+func (l *link) nextRequest() (r *topic.FollowRequest, address string, delay time.Duration) {
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	if !l.session.begun && len(l.feeds) == 0 {
+		clear(l.drops) // a broker without a session follows nothing
+		clear(l.counts)
+	}
+	if len(l.pending)+len(l.drops)+len(l.counts) == 0 {
+		return nil, "", 0
+	}
+	if delay := time.Until(l.notBefore); delay > 0 {
+		return nil, "", delay
+	}
+	r = &topic.FollowRequest{Session: l.session.id, Begin: !l.session.begun, Counts: l.counts}
+	for name := range l.drops {
+		r.Drop = append(r.Drop, name)
+	}
+	for name, f := range l.pending {
+		if len(r.Follow) == maxFollowed {
+			break
+		}
+		delete(l.pending, name)
+		r.Follow = append(r.Follow, f.joinRequest(f.subscribers()))
+	}
+	l.drops, l.counts = map[string]bool{}, map[string]int{}
+	return r, l.address, 0
+}
+
+// follow makes one call and takes over the answer.
+func (l *link) follow(ctx context.Context, caller *brokerCaller, address string, r *topic.FollowRequest) {
+	var out topic.FollowResponse
+	raw, err := caller.call(ctx, l.store, address, topic.PathFollow, l.hub.timing.follow(), r, &out)
+	if err == nil {
+		err = out.SetBodies(raw)
+	}
+	if err != nil || out.Unknown || len(out.Topics) != len(r.Follow) {
+		l.reset(r.Session)
+		return
+	}
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	if l.session.id != r.Session {
+		return
+	}
+	for i, state := range out.Topics {
+		l.joinedLocked(r.Follow[i].Topic, state)
+	}
+	if !l.session.begun {
+		l.session.begun = true
+		polls, end := context.WithCancel(ctx)
+		l.session.end = end
+		caller.tasks.Go(func() { l.poll(polls, caller, r.Session) })
+	}
+}
+
+// joinedLocked takes over where a topic stands.
+func (l *link) joinedLocked(name string, state topic.TopicState) {
+	f := l.feeds[name]
+	if f == nil {
+		return
+	}
+	if state.NotReady {
+		f.rejoin()
+		l.pending[name] = f
+		l.notBefore = time.Now().Add(l.hub.timing.retry())
+		return
+	}
+	if f.joined(state) {
+		l.pending[name] = f
+	}
+}
+
+// reset ends a session, unless it has ended already: all feeds join again.
+func (l *link) reset(id string) {
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	if id != "" && l.session.id != id {
+		return
+	}
+	if l.session.end != nil {
+		l.session.end()
+	}
+	l.session = session{id: rand.Text()}
+	l.notBefore = time.Now().Add(l.hub.timing.retry())
+	for name, f := range l.feeds {
+		f.rejoin()
+		l.pending[name] = f
+	}
+	clear(l.drops)
+	clear(l.counts)
+	l.wakeUp()
+}
+
+// poll takes the messages of a session until it ends.
+func (l *link) poll(ctx context.Context, caller *brokerCaller, id string) {
+	for number := int64(1); ctx.Err() == nil; number++ {
+		var out topic.PollResponse
+		request := &topic.PollRequest{Session: id, Number: number, WaitMs: l.hub.timing.pollWait().Milliseconds()}
+		raw, err := caller.call(ctx, l.store, l.currentAddress(), topic.PathPoll, l.hub.timing.poll(), request, &out)
+		if err == nil {
+			_, err = topic.SetBodies(out.Entries, raw)
+		}
+		if err != nil || out.Unknown {
+			l.reset(id)
+			return
+		}
+		l.deliver(id, &out)
+	}
+}
+
+func (l *link) currentAddress() string {
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	return l.address
+}
+
+// deliver gives the messages of a poll to their feeds.
+func (l *link) deliver(id string, out *topic.PollResponse) {
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	if l.session.id != id {
+		return
+	}
+	for _, e := range out.Entries {
+		if f := l.feeds[e.Topic]; f != nil && f.deliver(e) {
+			l.join(f)
+		}
+	}
+	for _, number := range out.Lost {
+		l.rejoinPartition(number)
+	}
+}
+
+// rejoinPartition has all feeds of a partition join, after a delay: the placement
+// that names another broker may be on its way.
+func (l *link) rejoinPartition(number int) {
+	for _, f := range l.feeds {
+		if f.partition == number {
+			f.rejoin()
+			l.join(f)
+			l.notBefore = time.Now().Add(l.hub.timing.retry())
+		}
+	}
+}
--- a/internal/rpc/calls.go
+++ b/internal/rpc/calls.go
@@ -41,6 +41,8 @@
 	"/read":           true,
 	"/status":         true,
 	"/suspect":        true,
+	"/topics/count":   true,
+	"/topics/publish": true,
 	"/view":           true,
 }
 
--- a/internal/rpc/calls_test.go
+++ b/internal/rpc/calls_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	used := map[string]bool{}
-	for _, file := range []string{"controlplane/server.go", "store/store.go", "store/messages.go", "edge/edge.go"} {
+	for _, file := range []string{"controlplane/server.go", "store/store.go", "store/messages.go", "broker/broker.go", "edge/edge.go"} {
 		source, err := os.ReadFile("../" + file)
 		if err != nil {
 			t.Fatal(err)
