--- /dev/null
+++ b/internal/gateway/feed_test.go
@@ -0,0 +1,253 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"saltreel/internal/linewire"
+	"saltreel/internal/partition"
+	"saltreel/internal/topic"
+)
+
+// recorder is a subscriber that keeps what it is sent.
+type recorder struct {
+	lines    []string
+	rejected linewire.Reason
+}
+
+func (r *recorder) send(frame []byte) {
+	line, _, _ := strings.Cut(string(frame), "\r\n")
+	r.lines = append(r.lines, line)
+}
+
+func (r *recorder) reject(_ *subscription, reason linewire.Reason) { r.rejected = reason }
+
+// orders returns the orders of the messages that came, behind the OK.
+func (r *recorder) orders() (orders []int64) {
+	for _, line := range r.lines {
+		fields := strings.Split(line, " ")
+		if fields[0] != "DELIVER" {
+			continue
+		}
+		at, err := partition.ParsePosition(fields[2])
+		if err != nil {
+			panic(err)
+		}
+		orders = append(orders, at.Order)
+	}
+	return orders
+}
+
+func at(order int64) partition.Position { return partition.Position{Epoch: 1, Order: order} }
+
+// modelBroker is a broker of one topic whose every message has the next order.
+type modelBroker struct {
+	last   int64
+	floor  int64
+	polled []topic.Entry // on their way to the gateway
+}
+
+func (b *modelBroker) entry(order int64) topic.Entry {
+	e := topic.Entry{Topic: "t", Position: at(order), Publisher: "p", Number: order, Length: 1, Body: []byte("x")}
+	if order > 1 {
+		e.Previous = at(order - 1)
+	}
+	return e
+}
+
+func (b *modelBroker) publish() {
+	b.last++
+	b.polled = append(b.polled, b.entry(b.last))
+}
+
+// answer is the answer to a join: what was polled before is on its way still.
+func (b *modelBroker) answer(r topic.Followed) topic.TopicState {
+	state := topic.TopicState{}
+	if b.last > 0 {
+		state.End = at(b.last)
+	}
+	if b.floor > 0 {
+		state.Floor = at(b.floor)
+	}
+	if r.Recent {
+		for order := max(r.After.Order, b.floor) + 1; order <= b.last; order++ {
+			state.Entries = append(state.Entries, b.entry(order))
+		}
+	}
+	return state
+}
+
+func subscribeAt(to *recorder, resumes bool, cursor int64) *subscription {
+	s := &subscription{to: to, topic: "t", resumes: resumes}
+	if resumes && cursor > 0 {
+		s.cursor = at(cursor)
+	}
+	return s
+}
+
+func TestFeedJoinsAndDelivers(t *testing.T) {
+	b := &modelBroker{}
+	f := newFeed("t", 0)
+	fresh, resumed := &recorder{}, &recorder{}
+	for range 5 {
+		b.publish()
+	}
+	if !f.add(subscribeAt(fresh, false, 0)) || !f.add(subscribeAt(resumed, true, 2)) || len(fresh.lines) > 0 {
+		t.Fatalf("a feed that has not joined answers %q", fresh.lines)
+	}
+	r := f.joinRequest(2)
+	if !r.Recent || r.After != at(2) || r.Subscribers != 2 {
+		t.Fatalf("asks for %+v", r)
+	}
+	b.publish()
+	f.deliver(b.entry(6)) // overtakes the answer
+	if f.joined(b.answer(r)) {
+		t.Fatal("joins again")
+	}
+	f.deliver(b.entry(6))
+	f.deliver(b.entry(7))
+	if want := []string{"OK SUBSCRIBE t 1-6", "DELIVER t 1-7 p 7 1"}; !slices.Equal(fresh.lines, want) {
+		t.Errorf("without a cursor: %q", fresh.lines)
+	}
+	if resumed.lines[0] != "OK SUBSCRIBE t 1-2" || !slices.Equal(resumed.orders(), []int64{3, 4, 5, 6, 7}) {
+		t.Errorf("with a cursor: %q", resumed.lines)
+	}
+	late := &recorder{}
+	if f.add(subscribeAt(late, true, 4)) || !slices.Equal(late.orders(), []int64{5, 6, 7}) {
+		t.Errorf("from what is recent: %q", late.lines)
+	}
+}
+
+func TestFeedJoinsAgainWhereAMessageIsMissing(t *testing.T) {
+	b := &modelBroker{}
+	f := newFeed("t", 0)
+	to := &recorder{}
+	f.add(subscribeAt(to, false, 0))
+	f.joined(b.answer(f.joinRequest(1)))
+	for range 3 {
+		b.publish()
+	}
+	if f.deliver(b.entry(1)) || !f.deliver(b.entry(3)) {
+		t.Fatal("the gap is not seen")
+	}
+	if r := f.joinRequest(1); r.After != at(1) || f.joined(b.answer(r)) {
+		t.Fatalf("asked for %+v", r)
+	}
+	if !slices.Equal(to.orders(), []int64{1, 2, 3}) {
+		t.Errorf("%q", to.lines)
+	}
+}
+
+func TestSubscriptionIsExpiredOnlyWhereAMessageWasDeleted(t *testing.T) {
+	for cursor, reason := range map[int64]linewire.Reason{2: linewire.Expired, 3: "", 9: ""} {
+		b := &modelBroker{floor: 3, last: 5}
+		f := newFeed("t", 0)
+		to := &recorder{}
+		f.add(subscribeAt(to, true, cursor))
+		f.joined(b.answer(f.joinRequest(1)))
+		if to.rejected != reason || (len(to.lines) == 0) != (reason != "") || len(f.subscriptions) != len(to.lines)-len(to.orders()) {
+			t.Errorf("cursor %d: %q, rejected %q", cursor, to.lines, to.rejected)
+		}
+	}
+}
+
+// Whatever order messages, answers and losses of the session come in, and whatever
+// is still in memory, each subscription gets each message after its cursor once and
+// in order.
+func TestFeedDeliversOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &modelBroker{}
+		f := newFeed("t", 0)
+		var recorders []*recorder
+		var firsts []int64 // of each recorder: the first order it is owed; -1 until it is answered without a cursor
+		var request *topic.Followed
+		mustJoin := false
+		answer := func() {
+			if request != nil {
+				mustJoin = f.joined(b.answer(*request)) || mustJoin
+				request = nil
+			}
+		}
+		ask := func() {
+			if request == nil && mustJoin {
+				r := f.joinRequest(f.subscribers())
+				request, mustJoin = &r, false
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				for range rapid.IntRange(1, maxRecentMessages).Draw(t, "messages") {
+					b.publish()
+				}
+			},
+			"poll": func(t *rapid.T) {
+				n := rapid.IntRange(0, len(b.polled)).Draw(t, "entries")
+				for _, e := range b.polled[:n] {
+					mustJoin = f.deliver(e) || mustJoin
+				}
+				b.polled = b.polled[n:]
+			},
+			"ask":    func(*rapid.T) { ask() },
+			"answer": func(*rapid.T) { answer() },
+			"lose the session": func(*rapid.T) {
+				f.rejoin()
+				b.polled, request, mustJoin = nil, nil, true
+			},
+			"subscribe": func(t *rapid.T) {
+				to := &recorder{}
+				resumes := rapid.Bool().Draw(t, "resumes")
+				cursor := rapid.Int64Range(0, b.last).Draw(t, "cursor")
+				recorders = append(recorders, to)
+				if resumes {
+					firsts = append(firsts, cursor+1)
+				} else {
+					firsts = append(firsts, -1)
+				}
+				mustJoin = f.add(subscribeAt(to, resumes, cursor)) || mustJoin
+			},
+		})
+		for request != nil || mustJoin {
+			ask()
+			answer()
+		}
+		for _, e := range b.polled {
+			if f.deliver(e) {
+				f.joined(b.answer(f.joinRequest(1)))
+			}
+		}
+		if len(recorders) == 0 {
+			return
+		}
+		for i, to := range recorders {
+			checkRecorder(t, to, firsts[i], f.position.Order)
+		}
+		if f.position.Order != b.last && len(b.polled) > 0 {
+			t.Errorf("the feed is at %v of %d", f.position, b.last)
+		}
+	})
+}
+
+// checkRecorder checks that a subscriber got all orders from first to last; from
+// the one behind that of its OK, if first is -1.
+func checkRecorder(t *rapid.T, to *recorder, first, last int64) {
+	if len(to.lines) == 0 || !strings.HasPrefix(to.lines[0], "OK SUBSCRIBE t ") || to.rejected != "" {
+		t.Fatalf("answered %q, rejected %q", to.lines, to.rejected)
+	}
+	if first < 0 {
+		cursor, _ := partition.ParsePosition(strings.TrimPrefix(to.lines[0], "OK SUBSCRIBE t "))
+		first = cursor.Order + 1
+	}
+	got := to.orders()
+	for i, order := range got {
+		if order != first+int64(i) {
+			t.Fatalf("got %v from %d on", got, first)
+		}
+	}
+	if int64(len(got)) != max(0, last-first+1) {
+		t.Fatal(fmt.Sprintf("got %d messages from %d on, of %d", len(got), first, last))
+	}
+}
