cluster: live clusters on the simulated network, their histories, a search of faults

Clients that come back with their cursors publish and subscribe; the checks compare what was sent with what was got: once, in one order, all that is owed, nothing that was refused.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -46,7 +46,9 @@
 	"testing/synctest"
 	"time"
 
+	"saltreel/internal/broker"
 	"saltreel/internal/edge"
+	"saltreel/internal/gateway"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/operator"
 	"saltreel/internal/platform"
@@ -105,26 +107,40 @@
 // zone, which tolerates a number of host failures.
 func runClusterWith(t *testing.T, hostFailures, perZone int, f func(w *world)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, t.TempDir(), hostFailures, "10.1.0.1", "10.2.0.1", "10.3.0.1")
-		for i, z := range zones {
-			for j, role := range []string{"core", "store", "edge"} {
-				name := role + "-" + z
-				w.addMachine(name, role, z, fmt.Sprintf("10.%d.0.%d", i+1, j+1), true)
-				for k := 1; k < perZone && role != "edge"; k++ {
-					w.addMachine(fmt.Sprintf("%s%d", name, k), role, z, fmt.Sprintf("10.%d.0.%d", i+1, 10*k+j+1), true)
-				}
+	runRoles(t, hostFailures, perZone, []string{"core", "store", "edge"}, f)
+}
+
+// runRoles is runClusterWith for a cluster with these roles: those of the cores,
+// the machines with data and those that clients reach.
+func runRoles(t *testing.T, hostFailures, perZone int, roles []string, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { runInBubble(t, hostFailures, perZone, roles, f) })
+}
+
+// runInBubble is runRoles within a bubble of synctest.
+func runInBubble(t *testing.T, hostFailures, perZone int, roles []string, f func(w *world)) {
+	t.Helper()
+	w := newWorld(t, t.TempDir(), hostFailures, "10.1.0.1", "10.2.0.1", "10.3.0.1")
+	for i, z := range zones {
+		for j, role := range roles {
+			name := role + "-" + z
+			w.addMachine(name, role, z, fmt.Sprintf("10.%d.0.%d", i+1, j+1), true)
+			for k := 1; k < perZone && hasDisk(role); k++ {
+				w.addMachine(fmt.Sprintf("%s%d", name, k), role, z, fmt.Sprintf("10.%d.0.%d", i+1, 10*k+j+1), true)
 			}
 		}
-		defer w.stopAll()
-		w.waitFor(15*time.Second, "the first placement", func() bool {
-			s, err := w.status()
-			return err == nil && len(s.Placement.Partitions) > 0
-		})
-		f(w)
+	}
+	defer w.stopAll()
+	w.waitFor(15*time.Second, "the first placement", func() bool {
+		s, err := w.status()
+		return err == nil && len(s.Placement.Partitions) > 0
 	})
+	f(w)
 }
 
+// hasDisk tells whether a role keeps data.
+func hasDisk(role string) bool { return role != "edge" && role != "gateway" }
+
 // newWorld makes a world without machines. It must be called in a bubble of
 // synctest.
 func newWorld(t *testing.T, dataPath string, hostFailures int, coreAddresses ...string) *world {
@@ -185,6 +201,11 @@
 timers.status-ttl-s=120
 timers.origin-overshoot=1.1
 timers.quota-allowance=20
+timers.ping-interval-s=2
+timers.reconnect-s=2
+timers.retransmit-s=10
+timers.presence-ms=5000
+policy-sections=base,tenants
 some.field.from.later=%[10]d
 `, m.name, m.role, m.ip, m.zone, "r-"+m.zone, bootstrap, m.dataPath, strings.Join(w.controlAddresses(), ","), w.hostFailures, w.settingsChangeCount())
 }
@@ -239,6 +260,10 @@
 			return edge.New(set, network, logger), nil
 		case "store":
 			return store.New(ctx, set, network, logger)
+		case "gateway":
+			return gateway.New(set, network, logger), nil
+		case "broker":
+			return store.NewWith(ctx, set, network, logger, broker.NewWorkload)
 		default:
 			return operator.NewCore(set, network, logger)
 		}
@@ -261,7 +286,7 @@
 	synctest.Wait()
 	w.kills++
 	copied := filepath.Join(w.dataPath, fmt.Sprintf("%s-%d", name, w.kills))
-	if m.role != "edge" {
+	if hasDisk(m.role) {
 		if err := os.CopyFS(copied, os.DirFS(m.dataPath)); err != nil {
 			w.t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/cluster/live_clients_test.go
@@ -0,0 +1,387 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// liveMessage is a message as its sender knows it.
+type liveMessage struct {
+	topic, publisher string
+	number           int64
+	body             string
+	firstSent        time.Time
+	acknowledged     time.Time // zero if it never was
+	onlyRetry        bool      // all its tries were answered RETRY
+}
+
+// liveDelivery is a message as a subscriber got it.
+type liveDelivery struct {
+	publisher string
+	number    int64
+	body      string
+}
+
+// liveSubscription is what a client got of a topic since its first OK.
+type liveSubscription struct {
+	since      time.Time // of the first OK; zero before
+	ended      time.Time // when the client was told that it is subscribed no more
+	cursor     string
+	deliveries []liveDelivery
+}
+
+// liveClient is a realtime client that comes back when it loses its connection.
+type liveClient struct {
+	w       *world
+	name    string
+	secret  string
+	process *process
+
+	mu            sync.Mutex
+	conn          net.Conn // nil while there is none
+	address       string   // of the gateway to go to
+	redirected    int      // how often it was sent to another gateway
+	connections   int
+	subscriptions map[string]*liveSubscription
+	published     []*liveMessage
+	answers       map[int64]chan string // by number
+	counts        map[string]chan int
+	number        int64
+	problems      []string // what must not happen
+}
+
+// newLiveClient starts a client that goes to the gateway of a zone. It ends with
+// the context.
+func (w *world) newLiveClient(ctx context.Context, name, zone string, topics ...string) *liveClient {
+	c := &liveClient{
+		w: w, name: name, secret: "key-one", process: &process{network: w.network, ip: clientIP},
+		address:       w.machines["gateway-"+zone].ip + ":80",
+		subscriptions: map[string]*liveSubscription{}, answers: map[int64]chan string{}, counts: map[string]chan int{},
+	}
+	for _, topic := range topics {
+		c.subscriptions[topic] = &liveSubscription{}
+	}
+	w.goroutines.Go(func() { c.run(ctx) })
+	return c
+}
+
+func (c *liveClient) problem(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.problems = append(c.problems, c.name+": "+fmt.Sprintf(format, args...))
+}
+
+// run keeps a connection until ctx ends.
+func (c *liveClient) run(ctx context.Context) {
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		if attempt > 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		c.mu.Lock()
+		address := c.address
+		c.mu.Unlock()
+		dialing, cancel := context.WithTimeout(ctx, time.Second)
+		conn, err := c.process.dial(dialing, address)
+		cancel()
+		if err != nil {
+			c.goElsewhere(address)
+			continue
+		}
+		stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		c.serve(conn)
+		stop()
+		_ = conn.Close()
+	}
+}
+
+// goElsewhere has the client try the gateway of the next zone.
+func (c *liveClient) goElsewhere(from string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.address != from {
+		return
+	}
+	for i, z := range zones {
+		if c.w.machines["gateway-"+z].ip+":80" == from {
+			c.address = c.w.machines["gateway-"+zones[(i+1)%len(zones)]].ip + ":80"
+			return
+		}
+	}
+	c.address = c.w.machines["gateway-z1"].ip + ":80"
+}
+
+// serve speaks on one connection until it ends.
+func (c *liveClient) serve(conn net.Conn) {
+	address := c.address
+	reader := bufio.NewReader(conn)
+	line := c.exchange(conn, reader, "HELLO "+c.name+" "+c.secret+"\r\n")
+	if line != "OK HELLO" {
+		c.goElsewhere(address)
+		return
+	}
+	c.mu.Lock()
+	c.conn = conn
+	c.connections++
+	asked := map[string]bool{}
+	for topic, s := range c.subscriptions {
+		if s.ended.IsZero() {
+			asked[topic] = true
+			c.writeLocked(strings.TrimSuffix("SUBSCRIBE "+topic+" "+s.cursor, " ") + "\r\n")
+		}
+	}
+	c.mu.Unlock()
+	done := make(chan struct{})
+	go c.ping(conn, done)
+	for c.read(reader, conn) {
+	}
+	close(done)
+	c.mu.Lock()
+	c.conn = nil
+	c.mu.Unlock()
+}
+
+// exchange sends a line and reads the answer; empty if none comes in time.
+func (c *liveClient) exchange(conn net.Conn, reader *bufio.Reader, line string) string {
+	if _, err := io.WriteString(conn, line); err != nil {
+		return ""
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	answer, err := reader.ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSuffix(answer, "\r\n")
+}
+
+// ping sends a PING every second until done.
+func (c *liveClient) ping(conn net.Conn, done chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Second):
+		}
+		c.mu.Lock()
+		if c.conn == conn {
+			c.writeLocked("PING\r\n")
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *liveClient) writeLocked(line string) {
+	if c.conn != nil {
+		_, _ = io.WriteString(c.conn, line)
+	}
+}
+
+// read handles one message of the gateway. It reports whether the connection goes
+// on: it ends after five seconds of silence, as a real client's.
+func (c *liveClient) read(reader *bufio.Reader, conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return false
+	}
+	fields := strings.Split(strings.TrimSuffix(line, "\r\n"), " ")
+	switch {
+	case fields[0] == "PONG" || fields[0] == "OK" && fields[1] == "UNSUB":
+	case fields[0] == "OK" && fields[1] == "SUBSCRIBE" && len(fields) == 4:
+		c.subscribed(fields[2], fields[3])
+	case fields[0] == "DELIVER" && len(fields) == 6:
+		return c.delivered(reader, fields)
+	case fields[0] == "ACK" && len(fields) == 3:
+		c.answered(fields[2], "ACK")
+	case fields[0] == "COUNT" && len(fields) == 3:
+		c.counted(fields[1], fields[2])
+	case fields[0] == "REJECT" && len(fields) == 5:
+		c.rejected(fields)
+	case fields[0] == "REDIRECT" && len(fields) == 2:
+		c.mu.Lock()
+		c.address = fields[1]
+		c.redirected++
+		c.mu.Unlock()
+		return false
+	default:
+		c.problem("cannot read %q", line)
+	}
+	return true
+}
+
+func (c *liveClient) subscribed(topic, cursor string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.subscriptions[topic]
+	if s == nil {
+		c.problems = append(c.problems, c.name+": an OK for "+topic)
+		return
+	}
+	if s.since.IsZero() {
+		s.since = time.Now()
+	}
+	s.cursor = cursor
+}
+
+func (c *liveClient) delivered(reader *bufio.Reader, fields []string) bool {
+	number, _ := strconv.ParseInt(fields[4], 10, 64)
+	size, _ := strconv.Atoi(fields[5])
+	body := make([]byte, size+2)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.subscriptions[fields[1]]
+	if s == nil || s.since.IsZero() || !s.ended.IsZero() {
+		c.problems = append(c.problems, fmt.Sprintf("%s: %q without a subscription", c.name, fields))
+		return true
+	}
+	s.cursor = fields[2]
+	s.deliveries = append(s.deliveries, liveDelivery{fields[3], number, string(body[:size])})
+	return true
+}
+
+func (c *liveClient) rejected(fields []string) {
+	switch fields[1] {
+	case "PUBLISH":
+		c.answered(fields[3], fields[4])
+	case "SUBSCRIBE":
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		s := c.subscriptions[fields[2]]
+		if fields[4] == "NOSPACE" || fields[4] == "UNAUTH" {
+			s.ended = time.Now()
+			return
+		}
+		c.problems = append(c.problems, fmt.Sprintf("%s: %q with cursor %q", c.name, fields, s.cursor))
+	case "SUBCOUNT":
+		c.counted(fields[2], "-1")
+	}
+}
+
+func (c *liveClient) answered(number, answer string) {
+	n, _ := strconv.ParseInt(number, 10, 64)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case c.answers[n] <- answer: // nobody waits for a late one
+	default:
+	}
+}
+
+func (c *liveClient) counted(topic, count string) {
+	n, _ := strconv.Atoi(count)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case c.counts[topic] <- n:
+	default:
+	}
+}
+
+// publish sends a message until it is acknowledged or its deadline is over, as
+// clients do: the same number again after UNKNOWN and silence, a new one after
+// RETRY.
+func (c *liveClient) publish(topic string) {
+	deadline := time.Now().Add(8 * time.Second)
+	for time.Now().Before(deadline) {
+		m := c.newMessage(topic)
+		if answer := c.publishNumber(m, deadline); answer != "RETRY" {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *liveClient) newMessage(topic string) *liveMessage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number++
+	m := &liveMessage{
+		topic: topic, publisher: c.name, number: c.number, firstSent: time.Now(), onlyRetry: true,
+		body: fmt.Sprintf("message %d of %s to %s", c.number, c.name, topic),
+	}
+	c.published = append(c.published, m)
+	return m
+}
+
+// publishNumber sends one message until the answer is conclusive. It returns the
+// last answer.
+func (c *liveClient) publishNumber(m *liveMessage, deadline time.Time) string {
+	for {
+		answer := c.tryPublish(m)
+		c.mu.Lock()
+		if answer == "ACK" {
+			m.acknowledged = time.Now()
+		}
+		m.onlyRetry = m.onlyRetry && answer == "RETRY"
+		c.mu.Unlock()
+		if answer == "ACK" || answer == "RETRY" || time.Now().After(deadline) {
+			return answer
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// tryPublish sends a message once and returns the answer; empty without one.
+func (c *liveClient) tryPublish(m *liveMessage) string {
+	answer := make(chan string, 1)
+	c.mu.Lock()
+	c.answers[m.number] = answer
+	c.writeLocked(fmt.Sprintf("PUBLISH %s %d %d\r\n%s\r\n", m.topic, m.number, len(m.body), m.body))
+	conn := c.conn
+	c.mu.Unlock()
+	select {
+	case a := <-answer:
+		return a
+	case <-time.After(1500 * time.Millisecond):
+		if conn != nil {
+			_ = conn.Close() // as a real client: it has waited for long enough
+		}
+		return ""
+	}
+}
+
+// count asks how many subscribers a topic has; -1 without an answer.
+func (c *liveClient) count(topic string) int {
+	answer := make(chan int, 1)
+	c.mu.Lock()
+	c.counts[topic] = answer
+	c.writeLocked("SUBCOUNT " + topic + "\r\n")
+	c.mu.Unlock()
+	select {
+	case n := <-answer:
+		return n
+	case <-time.After(2 * time.Second):
+		return -1
+	}
+}
+
+// ready reports whether all subscriptions were answered once.
+func (c *liveClient) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.subscriptions {
+		if s.since.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// snapshot copies what the client saw of a topic.
+func (c *liveClient) snapshot(topic string) liveSubscription {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := *c.subscriptions[topic]
+	s.deliveries = slices.Clone(s.deliveries)
+	return s
+}
--- /dev/null
+++ b/internal/cluster/live_search_test.go
@@ -0,0 +1,296 @@
+package cluster
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// The live search runs random schedules of faults under realtime clients and checks
+// what they see (live_checks_test.go).
+//
+//	go test ./internal/cluster -run TestLiveSearch                        the seeds of each build
+//	go test ./internal/cluster -run TestLiveSearch -search.live.seed 17   one of them again
+//	go test ./internal/cluster -run TestLiveSearch -search.live.for 10m   as many as there is time for
+var (
+	liveSearchSeed  = flag.Int("search.live.seed", 0, "run only the live schedule of this seed")
+	liveSearchFirst = flag.Int("search.live.first", 1, "the first seed of the live search")
+	liveSearchFor   = flag.Duration("search.live.for", 0, "run live schedules for so long")
+)
+
+// liveSchedules is how many schedules each build runs.
+const liveSchedules = 24
+
+func TestLiveSearch(t *testing.T) {
+	if *liveSearchSeed != 0 {
+		checkLiveSeed(t, *liveSearchSeed)
+		return
+	}
+	began := time.Now()
+	executed, failed := runSeeds(t, *liveSearchFirst, liveSchedules, *liveSearchFor, checkLiveSeed)
+	t.Logf("%d schedules in %v, %d failed", executed, time.Since(began).Round(time.Second), failed)
+}
+
+func checkLiveSeed(t *testing.T, seed int) bool {
+	t.Helper()
+	steps := drawLiveSteps(seed)
+	problems := runLiveSteps(t, steps, nil)
+	if len(problems) == 0 {
+		return true
+	}
+	t.Errorf("seed %d fails (-search.live.seed %[1]d): %s\n\n%v", seed, strings.Join(problems[:min(5, len(problems))], "\n"), steps)
+	return false
+}
+
+// liveFault is what a step does to a machine.
+type liveFault int
+
+const (
+	crashBroker liveFault = iota
+	restartBroker
+	wipeBroker
+	freezeBroker // it runs, and what it sends and receives arrives late
+	isolateBroker
+	isolateBrokerOneWay
+	cutBrokerFromCores
+	rollBroker
+	crashAllBrokers
+	crashTwoBrokers    // more than the cluster tolerates; their disks return
+	wipeBrokerAfterAck // the one that has just acknowledged a message
+	crashCore
+	crashGateway
+	rollGateway
+	resetClients
+	resetGatewayFromBrokers
+	liveFaults // how many there are
+)
+
+var liveFaultNames = []string{
+	"crash broker", "crash broker for a moment", "wipe broker", "freeze broker", "isolate broker", "isolate broker one way",
+	"cut broker from the cores", "roll broker", "crash all brokers", "crash two brokers", "wipe broker after an ACK", "crash core", "crash gateway",
+	"roll gateway", "reset clients", "reset gateway from brokers",
+}
+
+func (f liveFault) String() string { return liveFaultNames[f] }
+
+// liveStep is a fault for a while, and the calm after it. A gateway fault may come
+// in its middle.
+type liveStep struct {
+	fault  liveFault
+	zone   string
+	lasts  time.Duration
+	inside liveFault
+	calm   time.Duration
+}
+
+func (s liveStep) String() string {
+	return fmt.Sprintf("%v %s for %v, inside %v, calm %v\n", s.fault, s.zone, s.lasts, s.inside, s.calm)
+}
+
+func drawLiveSteps(seed int) (steps []liveStep) {
+	rng := rand.New(rand.NewPCG(uint64(seed), 5))
+	for range 2 + rng.IntN(3) {
+		steps = append(steps, liveStep{
+			fault:  liveFault(rng.IntN(int(liveFaults))),
+			zone:   zones[rng.IntN(len(zones))],
+			lasts:  time.Duration(300+rng.IntN(4000)) * time.Millisecond,
+			inside: crashGateway + liveFault(rng.IntN(int(liveFaults-crashGateway))),
+			calm:   recoveryTime + time.Duration(rng.IntN(1500))*time.Millisecond,
+		})
+	}
+	return steps
+}
+
+// runLiveSteps plays steps under traffic and returns what the clients saw wrong.
+// rewrite, unless nil, changes what is written on the network from the first step
+// on.
+func runLiveSteps(t *testing.T, steps []liveStep, rewrite func([]byte) []byte) (problems []string) {
+	synctest.Test(t, func(t *testing.T) {
+		runLiveInBubble(t, func(w *world) {
+			traffic := w.startLiveTraffic(2, 40*time.Millisecond)
+			time.Sleep(time.Second)
+			w.network.mu.Lock()
+			w.network.rewrite = rewrite
+			w.network.mu.Unlock()
+			for _, s := range steps {
+				w.performLive(traffic, s)
+				time.Sleep(s.calm)
+			}
+			problems = traffic.finish()
+			if traffic.acknowledged() < 50 {
+				problems = append(problems, "hardly anything was acknowledged")
+			}
+		})
+	})
+	return problems
+}
+
+// performLive strikes, and mends after a while.
+func (w *world) performLive(traffic *liveTraffic, s liveStep) {
+	broker, gateway := "broker-"+s.zone, "gateway-"+s.zone
+	ip, n := w.machines[broker].ip, w.network
+	inside := func() {
+		time.Sleep(s.lasts / 2)
+		if s.lasts > 2*time.Second {
+			w.strikeGateway(s.inside, gateway)
+		}
+		time.Sleep(s.lasts / 2)
+	}
+	switch s.fault {
+	case crashBroker, wipeBroker, wipeBrokerAfterAck:
+		if s.fault == wipeBrokerAfterAck {
+			broker = w.brokerThatAcknowledges(traffic)
+		}
+		w.killMachine(broker)
+		if s.fault != crashBroker {
+			w.wipeDisk(broker)
+		}
+		inside()
+		w.startMachine(broker, false)
+	case restartBroker:
+		w.killMachine(broker)
+		w.startMachine(broker, false)
+	case freezeBroker:
+		w.holdAll(ip, n.hold)
+		inside()
+		w.holdAll(ip, n.release)
+	case isolateBroker:
+		n.isolate(ip, true)
+		inside()
+		n.isolate(ip, false)
+	case isolateBrokerOneWay, cutBrokerFromCores:
+		direction, roles := bothDirections, []string{"core"}
+		if s.fault == isolateBrokerOneWay {
+			direction, roles = outgoing, []string{"core", "broker"}
+		}
+		peers := w.addressesOf(roles, broker)
+		w.setPartition([]string{ip}, peers, direction, true)
+		inside()
+		w.setPartition([]string{ip}, peers, direction, false)
+	case rollBroker:
+		w.terminateMachine(broker)
+		w.startMachine(broker, false)
+	case crashAllBrokers:
+		for _, z := range zones {
+			w.killMachine("broker-" + z)
+		}
+		for _, z := range zones {
+			w.startMachine("broker-"+z, false)
+		}
+	case crashTwoBrokers:
+		two := slices.DeleteFunc(slices.Clone(zones), func(z string) bool { return z == s.zone })
+		for _, z := range two {
+			w.killMachine("broker-" + z)
+		}
+		inside()
+		for _, z := range two {
+			w.startMachine("broker-"+z, false)
+		}
+	case crashCore:
+		w.killMachine("core-" + s.zone)
+		inside()
+		w.startMachine("core-"+s.zone, false)
+	default:
+		w.strikeGateway(s.fault, gateway)
+	}
+}
+
+// strikeGateway strikes a gateway or its clients, for a moment.
+func (w *world) strikeGateway(fault liveFault, gateway string) {
+	ip := w.machines[gateway].ip
+	switch fault {
+	case crashGateway:
+		w.killMachine(gateway)
+		w.startMachine(gateway, false)
+	case rollGateway:
+		w.terminateMachine(gateway)
+		w.startMachine(gateway, false)
+	case resetClients:
+		w.network.reset(clientIP, ip)
+	case resetGatewayFromBrokers:
+		for _, peer := range w.addressesOf([]string{"broker"}, "") {
+			w.network.reset(ip, peer)
+		}
+	}
+}
+
+// addressesOf lists the machines of some roles, but for one.
+func (w *world) addressesOf(roles []string, but string) (ips []string) {
+	for _, m := range w.machines {
+		if slices.Contains(roles, m.role) && m.name != but {
+			ips = append(ips, m.ip)
+		}
+	}
+	return ips
+}
+
+// holdAll holds or releases all links of a machine.
+func (w *world) holdAll(ip string, change func(from, to string)) {
+	for _, m := range w.machines {
+		if m.ip != ip {
+			change(ip, m.ip)
+			change(m.ip, ip)
+		}
+	}
+}
+
+// brokerThatAcknowledges waits for an ACK and names the broker that gave it.
+func (w *world) brokerThatAcknowledges(traffic *liveTraffic) string {
+	before := traffic.acknowledged()
+	for end := time.Now().Add(3 * time.Second); traffic.acknowledged() == before && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	status, err := w.status()
+	if err != nil || len(status.Placement.Partitions) == 0 {
+		return "broker-z1"
+	}
+	return status.Placement.Partitions[0].Primary
+}
+
+// The search finds faults that are planted in what gateways and clients write.
+func TestLiveSearchFindsPlantedFaults(t *testing.T) {
+	deliver := regexp.MustCompile(`DELIVER live\.a \S+ (\S+ \d+ \d+)\r\n[^\r]*\r\n`)
+	notAccepted := regexp.MustCompile(`\{"o":\[[03]\]\}`) // the outcome of one message at a broker
+	cursor := regexp.MustCompile(`(SUBSCRIBE live\.b [0-9a-z]+-)([0-9a-z]+)\r\n`)
+	crash := []liveStep{
+		{fault: crashBroker, zone: "z1", lasts: 3 * time.Second, inside: resetClients, calm: recoveryTime},
+		{fault: crashGateway, zone: "z2", calm: recoveryTime},
+		{fault: crashTwoBrokers, zone: "z2", lasts: 2 * time.Second, calm: recoveryTime},
+		{fault: resetClients, zone: "z3", calm: recoveryTime},
+	}
+	for name, c := range map[string]struct {
+		rewrite func(b []byte) []byte
+		class   string
+	}{
+		"a message is delivered twice": {func(b []byte) []byte {
+			return deliver.ReplaceAll(b, []byte("$0$0"))
+		}, "ORDER"},
+		"a message without outcome is acknowledged": {func(b []byte) []byte {
+			return notAccepted.ReplaceAll(b, []byte(`{"o":[1]}`))
+		}, "LOST"},
+		"a cursor skips messages": {func(b []byte) []byte {
+			return cursor.ReplaceAll(b, []byte("${1}z$2\r\n"))
+		}, "LOST"},
+		"a gateway does not know a subscription": {func(b []byte) []byte {
+			if bytes.Contains(b, []byte("z1-")) {
+				return deliver.ReplaceAll(b, nil)
+			}
+			return b
+		}, "LOST"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			problems := runLiveSteps(t, crash, c.rewrite)
+			if !slices.ContainsFunc(problems, func(p string) bool { return strings.HasPrefix(p, c.class) }) {
+				t.Errorf("not found as %s: %q", c.class, problems[:min(3, len(problems))])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/cluster/live_test.go
@@ -0,0 +1,221 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// runLive runs a test on a cluster of one core, broker and gateway in each of three
+// zones, which has a space of topics.
+func runLive(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { runLiveInBubble(t, f) })
+}
+
+func runLiveInBubble(t *testing.T, f func(w *world)) {
+	t.Helper()
+	runInBubble(t, 1, 1, []string{"core", "broker", "gateway"}, func(w *world) {
+		w.applySpaces("live.")
+		f(w)
+	})
+}
+
+// applySpaces puts a configuration with a stored space for each prefix in force.
+func (w *world) applySpaces(prefixes ...string) {
+	w.t.Helper()
+	old := w.revision
+	w.revision++
+	routes := ""
+	for i, prefix := range prefixes {
+		if i > 0 {
+			routes += ","
+		}
+		routes += fmt.Sprintf(`{"name":"r-%s","host-match":"","path-prefix":%[1]q,"route-type":"stored","timeout-ms":1500,"retention-s":60,"in-order":"topic"}`, prefix)
+	}
+	raw := fmt.Appendf(nil, `{"revision":%d,"route-table":[%s],"service-table":[],"limits":{"subscriptions":20},"tenant-table":[{"name":"one","api-keys":["key-one"],"rate-per-s":1000,"burst-size":1000}]}`, w.revision, routes)
+	if err := w.operator().PutConfiguration(context.Background(), raw, int64(old)); err != nil {
+		w.t.Fatalf("configuration %d: %v", w.revision, err)
+	}
+	time.Sleep(time.Second)
+}
+
+// liveTraffic is clients that subscribe to all of a few topics and publish on them
+// until stopped.
+type liveTraffic struct {
+	w       *world
+	topics  []string
+	clients []*liveClient
+	stop    context.CancelFunc // of the publishing
+	end     context.CancelFunc // of the clients
+	work    sync.WaitGroup
+}
+
+// startLiveTraffic starts clients at each gateway, one publication of each in an
+// interval.
+func (w *world) startLiveTraffic(clientsPerZone int, every time.Duration) *liveTraffic {
+	w.t.Helper()
+	connected, end := context.WithCancel(context.Background())
+	publishing, stop := context.WithCancel(connected)
+	traffic := &liveTraffic{w: w, topics: []string{"live.a", "live.b", "live.c", "live.d"}, stop: stop, end: end}
+	for _, z := range zones {
+		for i := range clientsPerZone {
+			c := w.newLiveClient(connected, fmt.Sprintf("%s-%d", z, i), z, traffic.topics...)
+			traffic.clients = append(traffic.clients, c)
+		}
+	}
+	w.waitFor(10*time.Second, "all subscriptions", func() bool {
+		for _, c := range traffic.clients {
+			if !c.ready() {
+				return false
+			}
+		}
+		return true
+	})
+	for i, c := range traffic.clients {
+		traffic.work.Go(func() {
+			for n := i; publishing.Err() == nil; n++ {
+				c.publish(traffic.topics[n%len(traffic.topics)])
+				time.Sleep(every)
+			}
+		})
+	}
+	return traffic
+}
+
+// finish stops the publishing and returns what is wrong when the deliveries have
+// settled.
+func (l *liveTraffic) finish() []string {
+	l.stop()
+	l.work.Wait()
+	problems := l.w.settle(l.clients, 8*time.Second)
+	l.end()
+	return problems
+}
+
+// acknowledged counts the messages that were acknowledged.
+func (l *liveTraffic) acknowledged() int {
+	total := 0
+	for _, c := range l.clients {
+		c.mu.Lock()
+		for _, m := range c.published {
+			if !m.acknowledged.IsZero() {
+				total++
+			}
+		}
+		c.mu.Unlock()
+	}
+	return total
+}
+
+// verify fails the test if a rule was broken, or hardly anything was published.
+func (l *liveTraffic) verify(t *testing.T, least int) {
+	t.Helper()
+	for i, problem := range l.finish() {
+		if i == 10 {
+			t.Fatal("and more")
+		}
+		t.Error(problem)
+	}
+	if n := l.acknowledged(); n < least {
+		t.Errorf("%d messages were acknowledged, not %d", n, least)
+	}
+}
+
+func TestSubscribersGetEachMessageOnceAndInOneOrder(t *testing.T) {
+	runLive(t, func(w *world) {
+		traffic := w.startLiveTraffic(2, 50*time.Millisecond)
+		time.Sleep(5 * time.Second)
+		if n := traffic.clients[0].count("live.a"); n != 6 {
+			t.Errorf("%d subscribers are counted, not 6", n)
+		}
+		traffic.verify(t, 300)
+	})
+}
+
+// Each fault strikes in the middle of traffic and is over some seconds before its
+// end.
+func TestTopicsOutliveFaults(t *testing.T) {
+	for name, strike := range map[string]func(w *world){
+		"a broker crashes and comes back": func(w *world) {
+			w.killMachine("broker-z1")
+			time.Sleep(3 * time.Second)
+			w.startMachine("broker-z1", false)
+		},
+		"a broker crashes and comes back at once": func(w *world) {
+			w.killMachine("broker-z1")
+			w.startMachine("broker-z1", false)
+		},
+		"a broker loses its disk": func(w *world) {
+			w.killMachine("broker-z2")
+			w.wipeDisk("broker-z2")
+			time.Sleep(time.Second)
+			w.startMachine("broker-z2", false)
+		},
+		"all brokers crash at once": func(w *world) {
+			for _, z := range zones {
+				w.killMachine("broker-" + z)
+			}
+			for _, z := range zones {
+				w.startMachine("broker-"+z, false)
+			}
+		},
+		"brokers are rolled": func(w *world) {
+			for _, z := range zones {
+				w.terminateMachine("broker-" + z)
+				w.startMachine("broker-"+z, false)
+				time.Sleep(3 * time.Second)
+			}
+		},
+		"a broker is cut off": func(w *world) {
+			w.network.isolate(w.machines["broker-z3"].ip, true)
+			time.Sleep(4 * time.Second)
+			w.network.isolate(w.machines["broker-z3"].ip, false)
+		},
+		"a broker is cut off from the other brokers one way": func(w *world) {
+			w.setPartition([]string{w.machines["broker-z1"].ip}, []string{w.machines["broker-z2"].ip, w.machines["broker-z3"].ip}, outgoing, true)
+			time.Sleep(4 * time.Second)
+			w.setPartition([]string{w.machines["broker-z1"].ip}, []string{w.machines["broker-z2"].ip, w.machines["broker-z3"].ip}, outgoing, false)
+		},
+		"a gateway crashes": func(w *world) {
+			w.killMachine("gateway-z1")
+			time.Sleep(2 * time.Second)
+			w.startMachine("gateway-z1", false)
+		},
+		"gateways are rolled": func(w *world) {
+			for _, z := range zones {
+				w.terminateMachine("gateway-" + z)
+				w.startMachine("gateway-"+z, false)
+				time.Sleep(time.Second)
+			}
+		},
+		"a gateway is cut off from the brokers": func(w *world) {
+			brokers := []string{w.machines["broker-z1"].ip, w.machines["broker-z2"].ip, w.machines["broker-z3"].ip}
+			w.setPartition([]string{w.machines["gateway-z2"].ip}, brokers, bothDirections, true)
+			time.Sleep(3 * time.Second)
+			w.setPartition([]string{w.machines["gateway-z2"].ip}, brokers, bothDirections, false)
+		},
+		"connections are reset": func(w *world) {
+			for range 3 {
+				for _, z := range zones {
+					w.network.reset(clientIP, w.machines["gateway-"+z].ip)
+					w.network.reset(w.machines["gateway-"+z].ip, w.machines["broker-z1"].ip)
+				}
+				time.Sleep(time.Second)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLive(t, func(w *world) {
+				traffic := w.startLiveTraffic(2, 50*time.Millisecond)
+				time.Sleep(2 * time.Second)
+				strike(w)
+				time.Sleep(4 * time.Second)
+				traffic.verify(t, 200)
+			})
+		})
+	}
+}
