partition, gateway: less waits after a failover of topics

A new primary knows from the batches how far its predecessor released the log: it releases that at once and accepts the rest anew, where it waited until new replicas were filled. A repeated number whose entry was released is acknowledged at once. A publication keeps its place while its client repeats it, and the oldest one's deadline does not cut short the call for all.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -12,7 +12,7 @@
 	"saltreel/internal/configuration"
 	"saltreel/internal/linewire"
 	"saltreel/internal/quota"
-	"saltreel/internal/topic"
+	"saltreel/internal/timeutil"
 )
 
 // clientConn is the connection of one client.
@@ -238,15 +238,16 @@
 func (c *clientConn) handleCount(ctx context.Context, command *linewire.Command) {
 	g := c.gateway
 	g.caller.tasks.Go(func() {
-		number := g.hub.partitionOf(command.Topic)
-		store, address := g.hub.primaryOf(number)
-		var out topic.CountResponse
-		request := topic.CountRequest{Topic: command.Topic, Partition: number}
-		if _, err := g.caller.call(ctx, store, address, topic.PathCount, g.timing.count(), request, &out); err != nil {
-			c.refuse(command, linewire.Retry)
-			return
+		ctx, cancel := context.WithTimeout(ctx, g.timing.countAnswer())
+		defer cancel()
+		for ctx.Err() == nil {
+			if n, err := g.countSubscribers(ctx, command.Topic); err == nil {
+				c.send(linewire.AppendCount(nil, command.Topic, n))
+				return
+			}
+			timeutil.Sleep(ctx, g.timing.retry())
 		}
-		c.send(linewire.AppendCount(nil, command.Topic, out.Count))
+		c.refuse(command, linewire.Retry)
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
+	"saltreel/internal/topic"
 )
 
 // nodeRole is the role of a gateway as heartbeats name it: that of any node that
@@ -248,6 +249,16 @@
 	}
 }
 
+// countSubscribers asks the broker of a topic how many subscribers it has.
+func (g *Gateway) countSubscribers(ctx context.Context, name string) (int, error) {
+	number := g.hub.partitionOf(name)
+	store, address := g.hub.primaryOf(number)
+	var out topic.CountResponse
+	request := topic.CountRequest{Topic: name, Partition: number}
+	_, err := g.caller.call(ctx, store, address, topic.PathCount, g.timing.count(), request, &out)
+	return out.Count, err
+}
+
 // checkRate uses up one message of the tenant's limit over all nodes. It returns
 // how long the tenant is over it; 0 if it is not.
 func (g *Gateway) checkRate(ctx context.Context, tenant *configuration.Tenant, space string, deadline time.Time) time.Duration {
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,56 +14,102 @@
 	"saltreel/internal/topic"
 )
 
-// publication is one message of a client that waits for its answer.
+// publication is one message of a client. publishers.mu guards it, but for what
+// does not change.
 type publication struct {
 	number      int64
 	body        []byte
 	tenant      string
 	retentionMs int64
-	deadline    time.Time
-	answer      func(frame []byte)
+
+	answer   func(frame []byte) // nil while the client waits for none
+	deadline time.Time          // of the answer
 }
 
 // publisherTopic is a client on one topic.
 type publisherTopic struct{ publisher, topic string }
 
 // publishers brings messages to the brokers: those of one client on one topic in
-// order, all that wait in one call.
+// order, all that wait in one call. A client that waits no longer gets UNKNOWN, and
+// sends the same number again; its message stays in its place meanwhile, so that
+// later ones do not overtake it.
 type publishers struct {
 	hub    *hub
 	caller *brokerCaller
 	ctx    context.Context // of the calls
 
-	mu      sync.Mutex
-	waiting map[publisherTopic][]*publication // an entry exists while a goroutine works it off
+	mu     sync.Mutex
+	queues map[publisherTopic][]*publication // an entry exists while a goroutine works it off
 }
 
 func newPublishers(ctx context.Context, h *hub, caller *brokerCaller) *publishers {
-	return &publishers{hub: h, caller: caller, ctx: ctx, waiting: map[publisherTopic][]*publication{}}
+	return &publishers{hub: h, caller: caller, ctx: ctx, queues: map[publisherTopic][]*publication{}}
 }
 
-// add queues a message, whose answer comes when it is known.
+// maxQueued bounds the messages of one client on one topic that wait. Clients have
+// a few at a time.
+const maxQueued = 256
+
+// add queues a message, which is answered when its outcome is known, or at its
+// deadline. One that waits already gets the new answer in place of the former.
 func (p *publishers) add(from publisherTopic, m *publication) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list, running := p.waiting[from]
-	p.waiting[from] = append(list, m)
+	queue, running := p.queues[from]
+	if i := slices.IndexFunc(queue, func(q *publication) bool { return q.number == m.number }); i >= 0 {
+		queue[i].reply(unknownFrame(from, m.number))
+		queue[i].answer, queue[i].deadline = m.answer, m.deadline
+		p.expireAtDeadline(from, queue[i])
+		return
+	}
+	if len(queue) >= maxQueued {
+		m.reply(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
+		return
+	}
+	p.queues[from] = append(queue, m)
+	p.expireAtDeadline(from, m)
 	if !running {
 		p.caller.tasks.Go(func() { p.run(from) })
 	}
 }
 
+// reply answers the client, once.
+func (m *publication) reply(frame []byte) {
+	if m.answer != nil {
+		m.answer(frame)
+		m.answer = nil
+	}
+}
+
+// unknownFrame answers a message whose outcome nobody knows. It is right even where
+// no broker has it: the client sends the same number again for as long as it cares,
+// and after RETRY only a few times.
+func unknownFrame(from publisherTopic, number int64) []byte {
+	return linewire.AppendReject(nil, linewire.Publish, from.topic, number, linewire.Unknown)
+}
+
+// expireAtDeadline answers a message at its deadline, unless it is answered by then
+// or the client has sent it again.
+func (p *publishers) expireAtDeadline(from publisherTopic, m *publication) {
+	deadline := m.deadline
+	time.AfterFunc(time.Until(deadline), func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if m.deadline.Equal(deadline) {
+			m.reply(unknownFrame(from, m.number))
+		}
+	})
+}
+
 // run works off the messages of one client on one topic.
 func (p *publishers) run(from publisherTopic) {
-	var undecided []*publication
 	for {
-		batch, more := p.take(from, undecided)
-		if !more {
+		batch := p.next(from)
+		if len(batch) == 0 {
 			return
 		}
-		undecided = p.publish(from, batch)
-		if len(undecided) > 0 {
-			p.waitForRetry(undecided)
+		if undecided := p.settle(from, batch, p.callBroker(from, batch)); undecided {
+			p.waitForRetry()
 		}
 	}
 }
@@ -73,47 +120,47 @@
 	maxBatchBytes = 64 << 10
 )
 
-// take returns the messages of the next call: those that are undecided, and those
-// that came since. Without any, it ends the entry.
-func (p *publishers) take(from publisherTopic, undecided []*publication) (batch []*publication, more bool) {
+// next returns the messages of the next call. If there are none, it ends the entry.
+func (p *publishers) next(from publisherTopic) []*publication {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := append(undecided, p.waiting[from]...)
-	if len(list) == 0 {
-		delete(p.waiting, from)
-		return nil, false
+	queue := p.queues[from]
+	if len(queue) == 0 {
+		delete(p.queues, from)
+		return nil
 	}
 	n, size := 0, 0
-	for n < len(list) && n < maxBatch && (n == 0 || size+len(list[n].body) <= maxBatchBytes) {
-		size += len(list[n].body)
+	for n < len(queue) && n < maxBatch && (n == 0 || size+len(queue[n].body) <= maxBatchBytes) {
+		size += len(queue[n].body)
 		n++
 	}
-	p.waiting[from] = append([]*publication(nil), list[n:]...)
-	return list[:n:n], true
+	return slices.Clone(queue[:n])
 }
 
-// publish makes one call, and answers the messages whose outcome is known or whose
-// time is over. It returns the others.
-func (p *publishers) publish(from publisherTopic, batch []*publication) (undecided []*publication) {
-	outcomes := p.callBroker(from, batch)
+// settle answers the messages whose outcome is known, and drops those for which
+// nobody waits any more. It reports whether others are left of the call.
+func (p *publishers) settle(from publisherTopic, batch []*publication, outcomes []topic.Outcome) (undecided bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := time.Now()
+	done := map[*publication]bool{}
 	for i, m := range batch {
 		switch outcomes[i] {
 		case topic.Accepted:
-			m.answer(linewire.AppendAck(nil, from.topic, m.number))
-			continue
+			m.reply(linewire.AppendAck(nil, from.topic, m.number))
+			done[m] = true
 		case topic.Superseded:
-			m.answer(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
-			continue
-		}
-		// UNKNOWN is right even where no broker has it: the client sends the same
-		// number again for as long as it cares, and after RETRY only a few times.
-		if !now.Before(m.deadline) || p.ctx.Err() != nil {
-			m.answer(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Unknown))
-			continue
+			m.reply(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
+			done[m] = true
+		default:
+			if p.ctx.Err() != nil {
+				m.reply(unknownFrame(from, m.number))
+			}
+			done[m] = m.answer == nil && now.Sub(m.deadline) > p.hub.timing.repeat() || p.ctx.Err() != nil
+			undecided = undecided || !done[m]
 		}
-		undecided = append(undecided, m)
 	}
+	p.queues[from] = slices.DeleteFunc(p.queues[from], func(m *publication) bool { return done[m] })
 	return undecided
 }
 
@@ -121,7 +168,7 @@
 func (p *publishers) callBroker(from publisherTopic, batch []*publication) []topic.Outcome {
 	number := p.hub.partitionOf(from.topic)
 	store, address := p.hub.primaryOf(number)
-	timeout := min(p.hub.timing.publishAttempt(), time.Until(batch[0].deadline))
+	timeout := p.hub.timing.publishAttempt()
 	request := topic.PublishRequest{
 		Partition: number, Topic: from.topic, Publisher: from.publisher,
 		Tenant: batch[0].tenant, RetentionMs: batch[0].retentionMs,
@@ -133,7 +180,10 @@
 		bodies = append(bodies, m.body...)
 	}
 	var out topic.PublishResponse
-	_, err := p.caller.callWith(p.ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	go p.cancelWithPrimary(ctx, cancel, number, store)
+	_, err := p.caller.callWith(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
 	if err == nil && len(out.Outcomes) == len(batch) {
 		return out.Outcomes
 	}
@@ -161,11 +211,27 @@
 // isSilence reports whether a call failed without an answer.
 func isSilence(err error) bool { return rpc.StatusCode(err) == 0 }
 
+// cancelWithPrimary cancels a call to a broker when another store leads the
+// partition.
+func (p *publishers) cancelWithPrimary(ctx context.Context, cancel context.CancelFunc, number int, store string) {
+	for {
+		changed := p.caller.node.PlacementChanged()
+		if primary, _ := p.hub.primaryOf(number); primary != store {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // waitForRetry waits until a broker may be asked again: for a moment, or until
-// there is a new placement, or the time of the first message is over.
-func (p *publishers) waitForRetry(undecided []*publication) {
-	delay := min(p.hub.timing.retry(), time.Until(undecided[0].deadline))
-	timer := time.NewTimer(delay)
+// there is a new placement.
+func (p *publishers) waitForRetry() {
+	timer := time.NewTimer(p.hub.timing.retry())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -49,6 +49,10 @@
 // publishAttempt bounds one call to a broker.
 func (t timing) publishAttempt() time.Duration { return t.contact / 6 }
 
+// repeat is how long after UNKNOWN a message keeps its place: the client sends its
+// number again within it.
+func (t timing) repeat() time.Duration { return t.contact / 4 }
+
 // retry is the delay before a broker is asked again for what it refused, or after
 // it did not answer. A new placement ends it.
 func (t timing) retry() time.Duration { return t.contact / 100 }
@@ -64,8 +68,10 @@
 func (t timing) pollWait() time.Duration { return t.contact / 4 }
 func (t timing) poll() time.Duration     { return t.pollWait() + t.contact/8 }
 
-// count bounds the question how many subscribers a topic has.
-func (t timing) count() time.Duration { return t.contact / 6 }
+// count bounds one question how many subscribers a topic has, and countAnswer the
+// answer to the client.
+func (t timing) count() time.Duration       { return t.contact / 24 }
+func (t timing) countAnswer() time.Duration { return t.contact / 6 }
 
 // unusedFeed is how long a topic without subscribers is followed on: most of those
 // who lost their connection come back within it.
--- a/internal/partition/accept.go
+++ b/internal/partition/accept.go
@@ -107,6 +107,8 @@
 		return acceptWait{}, ErrSuperseded
 	case stored != nil && stored.Tenant != r.Tenant && !r.IsEntry():
 		return acceptWait{}, ErrIDConflict
+	case stored != nil && accept == nil && stored.IsEntry() && !stored.Position().After(p.log.releasedThrough()):
+		return acceptWait{confirmed: closedChannel}, nil
 	case stored != nil && accept == nil:
 		return m.awaitVerificationLocked(p), nil
 	case accept == nil:
@@ -118,6 +120,13 @@
 	return acceptWait{confirmed: accept.done, changed: p.changed, mayBeStored: true}, nil
 }
 
+// closedChannel is what confirms at once.
+var closedChannel = func() chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}()
+
 // awaitVerificationLocked is the wait for a message that was stored earlier: it
 // is accepted once all backups are known to hold the same records, and this disk
 // has what is in memory here.
--- a/internal/partition/assignment.go
+++ b/internal/partition/assignment.go
@@ -107,6 +107,9 @@
 
 func (m *Manager) losePrimaryLocked(p *partition) {
 	p.granted.end()
+	if through := p.log.releasedThrough(); through.After(p.released) {
+		p.released = through
+	}
 	p.log = nil
 	clear(p.unconfirmed) // the accepts that wait see the change of the partition
 	m.events.push(Event{Partition: p.number, LostPrimary: true})
--- a/internal/partition/backup.go
+++ b/internal/partition/backup.go
@@ -87,6 +87,9 @@
 			m.storeLocked(p, r, nil)
 		}
 	}
+	if part.Released.After(p.released) {
+		p.released = part.Released
+	}
 	p.granted.apply(batch.Number, part.ReleaseLease, time.Now().Add(m.timing.lease()))
 	return PartitionResult{Partition: p.number, Checksum: p.records.checksum, Count: p.records.count}
 }
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -17,6 +17,7 @@
 	Now          int64     `json:"now,omitempty"` // the sender's clock, ms, in the answer to a FetchRequest
 	Records      []*Record `json:"r,omitempty"`
 	ReleaseLease bool      `json:"release,omitempty"` // the primary gives its lease back
+	Released     Position  `json:"rel,omitzero"`      // the entries up to here were released
 }
 
 // BatchResponse answers a BatchRequest once all of it is on the backup's disk.
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -25,7 +25,8 @@
 	log         *topicLog
 
 	// At a backup, and afterwards until it becomes primary and the lease ends:
-	granted grantedLease
+	granted  grantedLease
+	released Position // the entries up to here were released, as the primary said last
 }
 
 func newPartition(number int, epoch int64, records []*Record) (p *partition, memoryBytes int64) {
--- a/internal/partition/replica.go
+++ b/internal/partition/replica.go
@@ -20,6 +20,8 @@
 	unreplicated map[string]*Record // changed since, and not known to be there
 	missing      []string           // identifiers of older records that it lacks
 
+	released Position // the entries that it knows to be released
+
 	leaseExpires  time.Time // the lease that it granted
 	leaseReleased bool      // it has the lease back
 
--- a/internal/partition/replicator.go
+++ b/internal/partition/replicator.go
@@ -146,6 +146,7 @@
 	checksum     uint64
 	count        int
 	complete     bool // nothing was left out
+	released     Position
 	releaseLease bool
 }
 
@@ -194,12 +195,12 @@
 	for _, record := range records {
 		b.bodies = append(b.bodies, record.Body...)
 	}
-	b.request.Partitions = append(b.request.Partitions, PartitionBatch{
-		Partition:    p.number,
-		Epoch:        p.epoch,
-		Records:      records,
-		ReleaseLease: release,
-	})
+	part := PartitionBatch{Partition: p.number, Epoch: p.epoch, Records: records, ReleaseLease: release}
+	released := p.log.releasedThrough()
+	if released.After(r.released) {
+		part.Released = released
+	}
+	b.request.Partitions = append(b.request.Partitions, part)
 	b.sent = append(b.sent, sentPartition{
 		partition:    p,
 		replica:      r,
@@ -208,6 +209,7 @@
 		checksum:     p.records.checksum,
 		count:        p.records.count,
 		complete:     complete,
+		released:     released,
 		releaseLease: release,
 	})
 }
@@ -267,6 +269,7 @@
 func (m *Manager) acknowledgeLocked(sent *sentPartition) {
 	p, replica := sent.partition, sent.replica
 	replica.connected = true
+	replica.released = sent.released
 	for _, record := range sent.records {
 		replica.acknowledge(record)
 		if accept := p.unconfirmed[record.ID]; accept != nil {
--- a/internal/partition/topiclog.go
+++ b/internal/partition/topiclog.go
@@ -49,9 +49,39 @@
 	newest   map[publisherTopic]int64 // the highest number in entries
 	last     map[string]Position      // of each topic; also if the entry is deleted by now
 
-	onDisk    bool // this store's disk has the entries found when it became primary
-	recovered bool // all replicas hold the entries found when it became primary
-	released  int  // how many of entries have gone to the consumer
+	recovery logRecovery
+	released int      // how many of entries have gone to the consumer
+	through  Position // of the last of them
+}
+
+// logRecovery is what a new primary waits for until it releases entries: each
+// replica that may succeed it holds the entries found here, and no more.
+//
+// The entries up to the last that the former primary released were on enough disks.
+// Those behind it are accepted anew, and wait for the disks of all replicas like
+// new ones (unconfirmed). Where nothing is known of releases, all replicas have to
+// hold all.
+type logRecovery struct {
+	onDisk       bool // this store's disk has the entries found
+	tailAccepted bool // those behind the last released one are accepted anew
+	done         bool
+}
+
+// isDone reports whether a primary with these replicas may release entries.
+func (l *logRecovery) isDone(replicas []*replica, backups int) bool {
+	if l.done {
+		return true
+	}
+	if !l.onDisk || len(replicas) < backups {
+		return false
+	}
+	for _, r := range replicas {
+		if !r.verified && (r.inSync || !l.tailAccepted) {
+			return false
+		}
+	}
+	l.done = true
+	return true
 }
 
 // newTopicLog makes the log of a new primary from the records that it holds. The
@@ -106,11 +136,31 @@
 func (l *topicLog) release(isUnconfirmed func(id string) bool) []*Record {
 	first := l.released
 	for l.released < len(l.entries) && !isUnconfirmed(l.entries[l.released].ID) {
+		l.through = l.entries[l.released].Position()
 		l.released++
 	}
 	return l.entries[first:l.released:l.released]
 }
 
+// releasedThrough is the position of the last entry that was released.
+func (l *topicLog) releasedThrough() Position {
+	if l == nil {
+		return Position{}
+	}
+	return l.through
+}
+
+// after returns the entries after a position.
+func (l *topicLog) after(p Position) []*Record {
+	first, _ := slices.BinarySearchFunc(l.entries, p, func(r *Record, p Position) int {
+		if r.Position().After(p) {
+			return 1
+		}
+		return -1
+	})
+	return l.entries[first:]
+}
+
 // maxIdleTopics bounds the topics without entries whose last position is known.
 const maxIdleTopics = 1 << 17
 
@@ -141,25 +191,52 @@
 }
 
 // becomeLogPrimaryLocked makes the log of a partition that this store leads from
-// now on. Its entries are released once this disk and all replicas hold them.
+// now on.
 func (m *Manager) becomeLogPrimaryLocked(p *partition) {
 	log, repeated := newTopicLog(&p.records)
 	p.log = log
 	for _, r := range repeated {
 		m.commitLocked(p, &Record{ID: r.ID, Partition: p.number, State: Deleted}, nil)
 	}
+	var tail []*pendingAccept
+	if p.released != (Position{}) {
+		log.recovery.tailAccepted = true
+		for _, r := range log.after(p.released) {
+			tail = append(tail, p.acceptAgain(r))
+		}
+	}
 	m.storage.afterSync(func() {
 		m.background.tasks.Go(func() { // the caller of afterSync may hold mu
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			if p.log == log {
-				log.onDisk = true
-				m.releaseEntriesLocked(p)
+				m.handleLogOnDiskLocked(p, tail)
 			}
 		})
 	})
 }
 
+// acceptAgain has an entry wait for the disks of this store and of all replicas.
+func (p *partition) acceptAgain(r *Record) *pendingAccept {
+	accept := &pendingAccept{record: r, onBackupDisk: map[string]bool{}, done: make(chan struct{})}
+	p.unconfirmed[r.ID] = accept
+	for _, replica := range p.replicas {
+		replica.unreplicated[r.ID] = r
+	}
+	return accept
+}
+
+// handleLogOnDiskLocked notes that this disk has the entries that were found here,
+// those that are accepted anew among them.
+func (m *Manager) handleLogOnDiskLocked(p *partition, tail []*pendingAccept) {
+	p.log.recovery.onDisk = true
+	for _, accept := range tail {
+		accept.onLocalDisk = true
+		m.confirmLocked(p, accept)
+	}
+	m.releaseEntriesLocked(p)
+}
+
 // releaseEntriesLocked gives the entries that enough disks hold to the consumer.
 // So no cursor names what a failover may lose.
 func (m *Manager) releaseEntriesLocked(p *partition) {
@@ -167,11 +244,10 @@
 	if log == nil {
 		return
 	}
-	if !log.recovered {
-		if !log.onDisk || len(p.replicas) < m.config.Backups || !p.allVerified() {
+	if !log.recovery.done {
+		if !log.recovery.isDone(p.replicas, m.config.Backups) {
 			return
 		}
-		log.recovered = true
 		m.events.push(Event{Partition: p.number, LogReady: true})
 	}
 	entries := log.release(func(id string) bool { return p.unconfirmed[id] != nil })
--- a/internal/partition/topiclog_test.go
+++ b/internal/partition/topiclog_test.go
@@ -177,6 +177,48 @@
 	})
 }
 
+// What a former primary released is released at once; what it accepted behind that
+// waits for the disks of all replicas, and for no repair of a new one.
+func TestTailOfTheLogIsAcceptedAnewByANewPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startBackup(t)
+		batch := &BatchRequest{From: "other", Number: 1, Partitions: []PartitionBatch{{
+			Epoch: 5, Records: []*Record{entry(5, 1, "p", 1), entry(5, 2, "p", 2)}, Released: Position{5, 1},
+		}}}
+		if _, err := m.HandleBatch(t.Context(), batch, nil); err != nil {
+			t.Fatal(err)
+		}
+		assign(m, 2, placement.Partition{Epoch: 6, Primary: "me", Backups: []placement.Backup{{Store: "other", InSync: false}}})
+		if got := released(m); !slices.Equal(got, []int64{1}) {
+			t.Errorf("released %v before any answer", got)
+		}
+		exchange(t, m, func(result *PartitionResult) { result.Count = 1 }) // it has the tail, not the rest
+		if got := released(m); !slices.Equal(got, []int64{2}) {
+			t.Errorf("released %v when the new replica had the tail", got)
+		}
+	})
+}
+
+func TestReleasedPositionGoesWithABatchUntilItIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startPrimary(t, placement.Backup{Store: "other", InSync: true})
+		publish(t, m, 1)
+		exchange(t, m, nil)
+		m.mu.Lock()
+		m.partitions[0].replicas[0].leaseExpires = time.Time{} // so that there are next batches
+		m.mu.Unlock()
+		for i, want := range []Position{{6, 1}, {6, 1}, {}} {
+			batch := m.nextBatch("other")
+			if got := batch.request.Partitions[0].Released; got != want {
+				t.Errorf("batch %d names %v, not %v", i, got, want)
+			}
+			if i == 1 {
+				m.handleResponse(&replicator{manager: m, peer: "other", wakeup: make(chan struct{}, 1)}, time.Time{}, batch.sent, responseTo(batch))
+			}
+		}
+	})
+}
+
 func TestEntriesThatThePrimaryLacksAreDeletedAtTheReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := startPrimary(t, placement.Backup{Store: "other", InSync: true})
