--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -71,7 +71,7 @@
 // count bounds one question how many subscribers a topic has, and countAnswer the
 // answer to the client.
 func (t timing) count() time.Duration       { return t.contact / 24 }
-func (t timing) countAnswer() time.Duration { return t.contact / 6 }
+func (t timing) countAnswer() time.Duration { return t.contact / 4 }
 
 // unusedFeed is how long a topic without subscribers is followed on: most of those
 // who lost their connection come back within it.
