saltreel-data: subscribe, publish, subscribers; loopback cluster for topics

A client of topics (package realtime) that comes back with its cursors, and the commands by which a person uses it; deploy/loopback.sh start live.

--- a/cmd/saltreel-data/main.go
+++ b/cmd/saltreel-data/main.go
@@ -44,5 +44,6 @@
 				return handler.Sink(ctx, httpwire.TCP(), args[0], cmd.OutOrStdout())
 			}}),
 	)
+	root.AddCommand(realtimeCommands(signals)...)
 	os.Exit(platform.Main(root))
 }
--- a/deploy/loopback.sh
+++ b/deploy/loopback.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # A cluster on loopback for trying things out: three zones, in each a core, a
-# store and an edge. usage: loopback.sh start|stop|handler
+# store and an edge; with "live", a broker and a gateway for topics.
+# usage: loopback.sh start [live]|stop|handler
 set -e
 cd "$(dirname "$0")/.."
 dir=${SALTREEL_DIR:-/tmp/saltreel}
@@ -21,6 +22,8 @@
 internal-port-range=7100,7115
 seed-peers=127.0.1.1:8741,127.0.2.1:8741,127.0.3.1:8741
 bootstrap=$4
+deployment=$deployment
+policy-sections=base,tenants
 data-path=$dir/$2-$1
 keepalive-ms=1200
 limits.cpu-share=1
@@ -31,11 +34,22 @@
 timers.drain-ms=3000
 timers.config-apply-ms=3000
 timers.status-ttl-s=120
+timers.ping-interval-s=2
+timers.reconnect-s=2
+timers.retransmit-s=10
+timers.presence-ms=5000
 timers.quota-allowance=20
 timers.origin-overshoot=1.1
 EOF
 }
 
+deployment=ingest
+roles="core store edge"
+if [ "$2" = live ]; then
+  deployment=live
+  roles="core broker gateway"
+fi
+
 case "$1" in
 start)
   first=true
@@ -43,7 +57,7 @@
   mkdir -p "$dir"
   for zone in 1 2 3; do
     n=0
-    for role in core store edge; do
+    for role in $roles; do
       n=$((n + 1))
       program=target/saltreel-data
       [ $role = core ] && program=target/saltreel-control
@@ -65,7 +79,7 @@
   exec target/saltreel-data sink 127.0.0.1:9090
   ;;
 *)
-  echo "usage: loopback.sh start|stop|handler" >&2
+  echo "usage: loopback.sh start [live]|stop|handler" >&2
   exit 2
   ;;
 esac
--- a/internal/linewire/linewire_test.go
+++ b/internal/linewire/linewire_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"reflect"
-	"strconv"
 	"strings"
 	"testing"
 )
@@ -124,7 +123,7 @@
 			if err != nil {
 				return
 			}
-			again, err := read(string(appendCommand(nil, c)))
+			again, err := read(string(AppendCommand(nil, c)))
 			if err != nil || !reflect.DeepEqual(again, c) {
 				t.Fatalf("%+v is read again as %+v, %v", c, again, err)
 			}
@@ -132,18 +131,28 @@
 	})
 }
 
-// appendCommand writes a command as a client does.
-func appendCommand(b []byte, c *Command) []byte {
-	switch c.Word {
-	case Ping:
-		return appendLine(b, Ping)
-	case Hello:
-		return appendLine(b, Hello, c.Client, c.Secret)
-	case Subscribe:
-		return appendLine(b, Subscribe, c.Topic, c.Cursor)
-	case Publish:
-		b = appendLine(b, Publish, c.Topic, strconv.FormatInt(c.Number, 10), strconv.Itoa(len(c.Body)))
-		return append(append(b, c.Body...), "\r\n"...)
+func TestAnswersAreReadByClients(t *testing.T) {
+	for text, want := range map[string]Answer{
+		"OK HELLO\r\n":                        {Word: OK, Request: Hello},
+		"OK SUBSCRIBE k.2f c-17\r\n":          {Word: OK, Request: Subscribe, Topic: "k.2f", Cursor: "c-17"},
+		"OK UNSUB k.2f\r\n":                   {Word: OK, Request: Unsubscribe, Topic: "k.2f"},
+		"ACK k.2f 7\r\n":                      {Word: Ack, Topic: "k.2f", Number: 7},
+		"DELIVER k.2f c-18 u1 7 3\r\nabc\r\n": {Word: Deliver, Topic: "k.2f", Cursor: "c-18", Publisher: "u1", Number: 7, Body: []byte("abc")},
+		"COUNT k.2f 12\r\n":                   {Word: Counted, Topic: "k.2f", Count: 12},
+		"PONG\r\n":                            {Word: Pong},
+		"REDIRECT 10.1.0.7:8000\r\n":          {Word: Redirect, Address: "10.1.0.7:8000"},
+		"REJECT HELLO - - RETRY\r\n":          {Word: Reject, Request: Hello, Reason: Retry},
+		"REJECT PUBLISH k.2f 7 UNKNOWN\r\n":   {Word: Reject, Request: Publish, Topic: "k.2f", Number: 7, Reason: Unknown},
+		"REJECT SUBSCRIBE k.2f - EXPIRED\r\n": {Word: Reject, Request: Subscribe, Topic: "k.2f", Reason: Expired},
+	} {
+		got, err := ReadAnswer(bufio.NewReader(strings.NewReader(text)))
+		if err != nil || !reflect.DeepEqual(*got, want) {
+			t.Errorf("%q: %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"OK\r\n", "ACK t x\r\n", "COUNT t\r\n", "DELIVER t c u 7 99999\r\n", "DELIVER t c u x 1\r\na\r\n", "REJECT PUBLISH t x RETRY\r\n", "WELCOME\r\n"} {
+		if got, err := ReadAnswer(bufio.NewReader(strings.NewReader(text))); err == nil {
+			t.Errorf("%q: %+v", text, got)
+		}
 	}
-	return appendLine(b, c.Word, c.Topic)
 }
