--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -157,6 +157,7 @@
 	b.topics.deleteExpired(b.config.Partitions.Now())
 	for gateway, s := range b.sessions {
 		if s.isAbandoned(time.Now(), b.timing.sessionTimeout()) {
+			b.config.Log.Printf("broker: the session of %s ended: %d messages wait for its next poll", gateway, len(s.outbox))
 			b.endSessionLocked(gateway)
 		}
 	}
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,225 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"saltreel/internal/partition"
+	"saltreel/internal/topic"
+)
+
+// fakePartitions gives events when a test says so and accepts as it says.
+type fakePartitions struct {
+	now     int64
+	outcome []error
+	stored  []*partition.Record
+}
+
+func (f *fakePartitions) Events() ([]partition.Event, <-chan struct{}) { return nil, nil }
+func (f *fakePartitions) Now() int64                                   { return f.now }
+func (f *fakePartitions) AcceptAll(_ context.Context, _ int, records []*partition.Record) []error {
+	f.stored = append(f.stored, records...)
+	return f.outcome
+}
+
+func newBroker(t *testing.T) (*Broker, *fakePartitions) {
+	t.Helper()
+	f := &fakePartitions{now: 1000}
+	b, err := New(Config{Partitions: f, Log: log.New(io.Discard, "", 0), ContactTimeout: 4 * time.Second, Retransmit: 10 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b, f
+}
+
+func TestNewRefusesAnIncompleteConfig(t *testing.T) {
+	for name, change := range map[string]func(c *Config){
+		"no partitions":      func(c *Config) { c.Partitions = nil },
+		"no log":             func(c *Config) { c.Log = nil },
+		"no contact timeout": func(c *Config) { c.ContactTimeout = 0 },
+		"no retransmission":  func(c *Config) { c.Retransmit = 0 },
+	} {
+		c := Config{Partitions: &fakePartitions{}, Log: log.Default(), ContactTimeout: 1, Retransmit: 1}
+		change(&c)
+		if _, err := New(c); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// record is the entry of topic t at an order, behind the one before it.
+func record(order int64, expires int64) *partition.Record {
+	return &partition.Record{
+		Epoch: 1, Order: order, Topic: "t", Publisher: "p", Number: order, Expires: expires, Body: []byte("x"),
+		Previous: partition.Position{Epoch: 1, Order: order - 1},
+	}
+}
+
+func lead(b *Broker, entries ...*partition.Record) {
+	b.applyEvents([]partition.Event{{BecamePrimary: true}, {LogReady: true}, {Entries: entries}})
+}
+
+func follow(t *testing.T, b *Broker, in topic.FollowRequest) *topic.FollowResponse {
+	t.Helper()
+	in.Gateway = "g"
+	out, raw, err := b.handleFollow(t.Context(), &in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := out.SetBodies(raw); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// poll returns the orders of the next messages, and the answer.
+func poll(t *testing.T, b *Broker, session string, number int64) ([]int64, *topic.PollResponse) {
+	t.Helper()
+	out, raw, err := b.handlePoll(t.Context(), &topic.PollRequest{Gateway: "g", Session: session, Number: number, WaitMs: 100}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := topic.SetBodies(out.Entries, raw); err != nil || len(rest) > 0 {
+		t.Fatalf("%d bytes left, %v", len(rest), err)
+	}
+	var orders []int64
+	for _, e := range out.Entries {
+		orders = append(orders, e.Position.Order)
+	}
+	return orders, out
+}
+
+func TestSessionGetsEachMessageOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newBroker(t)
+		lead(b, record(1, 1e9), record(2, 1e9))
+		out := follow(t, b, topic.FollowRequest{Session: "s", Begin: true, Follow: []topic.Followed{
+			{Topic: "t", Recent: true, After: partition.Position{Epoch: 1, Order: 1}, Subscribers: 3},
+			{Topic: "elsewhere", Partition: 7},
+		}})
+		if state := out.Topics[0]; state.End.Order != 2 || state.Floor.Order != 0 || len(state.Entries) != 1 || string(state.Entries[0].Body) != "x" {
+			t.Errorf("the topic stands at %+v", state)
+		}
+		if !out.Topics[1].NotReady {
+			t.Error("a topic of a partition that is led elsewhere is followed")
+		}
+		lead(b)
+		b.applyEvents([]partition.Event{{Entries: []*partition.Record{record(3, 1e9)}}})
+		time.AfterFunc(50*time.Millisecond, func() {
+			b.applyEvents([]partition.Event{{Entries: []*partition.Record{record(4, 1e9)}}})
+		})
+		for number, want := range [][]int64{{3}, {4}, nil} {
+			if got, _ := poll(t, b, "s", int64(number+1)); !slices.Equal(got, want) {
+				t.Errorf("poll %d brings %v, not %v", number+1, got, want)
+			}
+		}
+		count, err := b.handleCount(t.Context(), &topic.CountRequest{Topic: "t"}, nil)
+		if err != nil || count.Count != 3 {
+			t.Errorf("%d subscribers, %v", count.Count, err)
+		}
+		if _, err := b.handleCount(t.Context(), &topic.CountRequest{Topic: "t", Partition: 7}, nil); statusCode(err) != 421 {
+			t.Errorf("a count elsewhere: %v", err)
+		}
+	})
+}
+
+func TestOnlyTheNextPollOfTheNewestSessionIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newBroker(t)
+		lead(b)
+		begin := func(session string) {
+			follow(t, b, topic.FollowRequest{Session: session, Begin: true, Follow: []topic.Followed{{Topic: "t"}}})
+		}
+		begin("a")
+		for _, c := range []struct {
+			session string
+			number  int64
+			unknown bool
+		}{{"a", 2, true}, {"a", 1, false}, {"a", 1, true}, {"b", 2, true}, {"a", 2, false}} {
+			if _, out := poll(t, b, c.session, c.number); out.Unknown != c.unknown {
+				t.Errorf("poll %d of %s: unknown %v", c.number, c.session, out.Unknown)
+			}
+		}
+		begin("b")
+		if out := follow(t, b, topic.FollowRequest{Session: "a", Drop: []string{"t"}}); !out.Unknown {
+			t.Error("a late call of a former session is obeyed")
+		}
+		b.applyEvents([]partition.Event{{Entries: []*partition.Record{record(1, 1e9)}}})
+		if got, _ := poll(t, b, "b", 1); !slices.Equal(got, []int64{1}) {
+			t.Errorf("the new session gets %v", got)
+		}
+	})
+}
+
+func TestSessionIsToldOfLostPartitionsAndOfItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newBroker(t)
+		lead(b)
+		follow(t, b, topic.FollowRequest{Session: "s", Begin: true, Follow: []topic.Followed{{Topic: "t"}}})
+		b.applyEvents([]partition.Event{{LostPrimary: true}})
+		if _, out := poll(t, b, "s", 1); !slices.Equal(out.Lost, []int{0}) {
+			t.Errorf("lost are %v", out.Lost)
+		}
+		lead(b)
+		follow(t, b, topic.FollowRequest{Session: "s", Follow: []topic.Followed{{Topic: "t"}}})
+		big := record(1, 1e9)
+		big.Body = make([]byte, maxOutboxBytes)
+		b.applyEvents([]partition.Event{{Entries: []*partition.Record{big}}})
+		if _, out := poll(t, b, "s", 2); !out.Unknown {
+			t.Error("a session over its bound goes on")
+		}
+		follow(t, b, topic.FollowRequest{Session: "r", Begin: true, Follow: []topic.Followed{{Topic: "t", Subscribers: 1}}})
+		time.Sleep(b.timing.sessionTimeout() + time.Millisecond)
+		b.sweep()
+		if _, out := poll(t, b, "r", 1); !out.Unknown || b.topics.byName["t"].count() != 0 {
+			t.Error("a gateway that does not poll still counts")
+		}
+	})
+}
+
+func TestFloorIsThatOfDeletedMessages(t *testing.T) {
+	b, f := newBroker(t)
+	lead(b, record(5, 2000), record(6, 3000), record(7, 4000))
+	state := func() topic.TopicState {
+		return follow(t, b, topic.FollowRequest{Session: "s", Begin: true, Follow: []topic.Followed{{Topic: "t", Recent: true}}}).Topics[0]
+	}
+	for _, c := range []struct{ now, floor, end, entries int64 }{{1000, 4, 7, 3}, {2500, 5, 7, 2}, {9000, 7, 7, 0}} {
+		f.now = c.now
+		b.sweep()
+		if got := state(); got.Floor.Order != c.floor || got.End.Order != c.end || int64(len(got.Entries)) != c.entries {
+			t.Errorf("at %d: %+v", c.now, got)
+		}
+	}
+	follow(t, b, topic.FollowRequest{Session: "s", Drop: []string{"t"}})
+	f.now += 2 * forgetEmpty.Milliseconds()
+	b.sweep()
+	if len(b.topics.byName) != 0 {
+		t.Error("an empty topic is kept for good")
+	}
+}
+
+func TestPublishGivesTheOutcomeOfEachMessage(t *testing.T) {
+	b, f := newBroker(t)
+	f.outcome = []error{nil, partition.ErrSuperseded, &partition.TooFewBackupsError{}, &partition.UnconfirmedError{}, errors.New("another")}
+	in := &topic.PublishRequest{Topic: "t", Publisher: "p", RetentionMs: 5000, WaitMs: 100}
+	for n := range int64(5) {
+		in.Messages = append(in.Messages, topic.Publication{Number: n + 1, Length: 2})
+	}
+	out, err := b.handlePublish(t.Context(), in, []byte("aabbccddee"))
+	want := []topic.Outcome{topic.Accepted, topic.Superseded, topic.NotStored, topic.Indeterminate, topic.Indeterminate}
+	if err != nil || !slices.Equal(out.Outcomes, want) {
+		t.Errorf("%v, %v", out, err)
+	}
+	if r := f.stored[2]; string(r.Body) != "cc" || r.Number != 3 || r.Expires != 1000+5000+8000+10000 {
+		t.Errorf("stored is %+v", r)
+	}
+	if _, err := b.handlePublish(t.Context(), in, []byte("too short")); statusCode(err) != 400 {
+		t.Errorf("bodies cut short: %v", err)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 	}
 	g.serving, g.stopServing = context.WithCancel(context.Background())
 	g.caller = &brokerCaller{node: g.node, timing: g.timing, gateway: set.NodeName}
-	g.hub = newHub(g.timing, g.node.Placement, func(l *link) {
+	g.hub = newHub(g.timing, g.node.Placement, logger, func(l *link) {
 		g.caller.tasks.Go(func() { l.run(g.serving, g.caller) })
 	})
 	g.publishers = newPublishers(g.serving, g.hub, g.caller)
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log"
 	"sync"
 	"time"
 
@@ -16,15 +17,16 @@
 	timing    timing
 	placement func() *placement.Placement // the newest; nil before the first
 	startLink func(l *link)               // begins to work off a new link
+	log       *log.Logger
 
 	mu    sync.Mutex
 	feeds map[string]*feed // by topic
 	links map[string]*link // by the name of the broker's store
 }
 
-func newHub(timing timing, placement func() *placement.Placement, startLink func(l *link)) *hub {
+func newHub(timing timing, placement func() *placement.Placement, logger *log.Logger, startLink func(l *link)) *hub {
 	return &hub{
-		timing: timing, placement: placement, startLink: startLink,
+		timing: timing, placement: placement, startLink: startLink, log: logger,
 		feeds: map[string]*feed{}, links: map[string]*link{},
 	}
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"time"
 
 	"saltreel/internal/topic"
@@ -83,7 +84,7 @@
 
 // run works off the link until ctx ends.
 func (l *link) run(ctx context.Context, caller *brokerCaller) {
-	defer l.reset("")
+	defer l.reset("", nil)
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,8 +156,11 @@
 	if err == nil {
 		err = out.SetBodies(raw)
 	}
-	if err != nil || out.Unknown || len(out.Topics) != len(r.Follow) {
-		l.reset(r.Session)
+	if err == nil && (out.Unknown || len(out.Topics) != len(r.Follow)) {
+		err = errUnknownSession
+	}
+	if err != nil {
+		l.reset(r.Session, err)
 		return
 	}
 	l.hub.mu.Lock()
@@ -192,8 +196,13 @@
 	}
 }
 
-// reset ends a session, unless it has ended already: all feeds join again.
-func (l *link) reset(id string) {
+// errUnknownSession says that the broker does not know a session, or not as the
+// gateway does: it restarted, or a call was lost.
+var errUnknownSession = errors.New("the broker does not know it")
+
+// reset ends a session, unless it has ended already: all feeds join again. cause is
+// what failed; nil at the end of the process.
+func (l *link) reset(id string, cause error) {
 	l.hub.mu.Lock()
 	defer l.hub.mu.Unlock()
 	if id != "" && l.session.id != id {
@@ -202,6 +211,9 @@
 	if l.session.end != nil {
 		l.session.end()
 	}
+	if cause != nil && l.session.begun {
+		l.hub.log.Printf("gateway: the session with %s ended: %v", l.store, cause)
+	}
 	l.session = session{id: rand.Text()}
 	l.notBefore = time.Now().Add(l.hub.timing.retry())
 	for name, f := range l.feeds {
@@ -222,8 +234,11 @@
 		if err == nil {
 			_, err = topic.SetBodies(out.Entries, raw)
 		}
-		if err != nil || out.Unknown {
-			l.reset(id)
+		if err == nil && out.Unknown {
+			err = errUnknownSession
+		}
+		if err != nil {
+			l.reset(id, err)
 			return
 		}
 		l.deliver(id, &out)
--- a/internal/realtime/client.go
+++ b/internal/realtime/client.go
@@ -46,6 +46,9 @@
 }
 
 func (e *RejectedError) Error() string {
+	if e.Topic == "" {
+		return fmt.Sprintf("%s is refused: %s", e.Request, e.Reason)
+	}
 	return fmt.Sprintf("%s %s is refused: %s", e.Request, e.Topic, e.Reason)
 }
 
