--- /dev/null
+++ b/internal/gateway/feed_bench_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"saltreel/internal/partition"
+	"saltreel/internal/topic"
+)
+
+// BenchmarkDeliver measures one message of 90 bytes to the subscribers of one topic
+// at one gateway, up to the buffers of their connections.
+func BenchmarkDeliver(b *testing.B) {
+	for _, subscribers := range []int{1, 40} {
+		b.Run(fmt.Sprintf("%d subscribers", subscribers), func(b *testing.B) {
+			f := newFeed("news.harbour", 0)
+			var outboxes []*outbox
+			for range subscribers {
+				c := &clientConn{outbox: newOutbox()}
+				outboxes = append(outboxes, c.outbox)
+				f.add(&subscription{to: c, topic: f.topic})
+			}
+			f.joinRequest(subscribers)
+			f.joined(topic.TopicState{})
+			e := topic.Entry{Topic: f.topic, Publisher: "u1fx3a9c", Body: make([]byte, 90)}
+			b.ReportAllocs()
+			for b.Loop() {
+				e.Previous = e.Position
+				e.Position = partition.Position{Epoch: 1, Order: e.Position.Order + 1}
+				e.Number++
+				if f.deliver(e) {
+					b.Fatal("the feed joins")
+				}
+				for _, o := range outboxes {
+					waiting, _ := o.take(nil)
+					o.take(waiting) // its buffer is used again
+				}
+			}
+			b.ReportMetric(float64(b.N*subscribers)/b.Elapsed().Seconds(), "deliveries/s")
+		})
+	}
+}
