--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,7 +69,7 @@
 // Run serves until ctx ends, answers the requests that were read by then, and
 // returns. The error is that of a listener that cannot be opened.
 func (e *Edge) Run(ctx context.Context) error {
-	listeners, err := e.listen()
+	listeners, err := platform.Listen(e.network.Listen, e.set)
 	if err != nil {
 		return err
 	}
@@ -82,9 +80,9 @@
 	clients := &httpwire.Server{Handle: e.handle, Limits: e.limits, OnPanic: e.answerPanic, AnswerTime: e.timing.answerTime()}
 	var tasks sync.WaitGroup
 	for _, task := range []func(){
-		func() { _ = internal.Serve(serving, listeners.internal) },
-		func() { _ = clients.Serve(serving, listeners.clients) },
-		func() { _ = platform.ServeReadiness(serving, listeners.readiness, e.ready) },
+		func() { _ = internal.Serve(serving, listeners.Internal) },
+		func() { _ = clients.Serve(serving, listeners.Clients) },
+		func() { _ = platform.ServeReadiness(serving, listeners.Readiness, e.ready) },
 		func() { e.node.Run(serving) },
 		func() { e.leases.Run(serving) },
 		func() { e.quotas.Reap(serving) },
@@ -101,29 +99,6 @@
 	return nil
 }
 
-// listeners are the sockets of an edge.
-type listeners struct {
-	internal  net.Listener // for our own processes
-	clients   net.Listener
-	readiness net.Listener // for the platform
-}
-
-func (e *Edge) listen() (opened listeners, err error) {
-	opened.internal, err = e.network.Listen(e.set.InternalAddress())
-	if err != nil {
-		return opened, fmt.Errorf("listen for our own processes: %w", err)
-	}
-	opened.clients, err = e.network.Listen(e.set.Listeners.DataPlane)
-	if err != nil {
-		return opened, fmt.Errorf("listen for clients: %w", err)
-	}
-	opened.readiness, err = e.network.Listen(e.set.Listeners.Readiness)
-	if err != nil {
-		return opened, fmt.Errorf("listen for readiness: %w", err)
-	}
-	return opened, nil
-}
-
 // drainClients ends the service for clients: the process is not ready any more,
 // but serves until the platform has noticed; then the requests that were read are
 // answered, and connections on hold are released. What takes longer than the
--- a/internal/partition/maintenance.go
+++ b/internal/partition/maintenance.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"saltreel/internal/timeutil"
 )
 
 // usage is what the records of a store occupy, against its bounds.
@@ -30,25 +31,18 @@
 // deleteExpired deletes the records of ended messages and the log entries that are
 // past their time, until ctx ends.
 func (m *Manager) deleteExpired(ctx context.Context) {
-	ticker := time.NewTicker(m.timing.expirySweep())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	timeutil.Repeat(ctx, m.timing.expirySweep(), func() {
 		now := m.Now()
 		diskBytes := m.storage.usedBytes()
 		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.measureUsageLocked(diskBytes)
 		for _, p := range m.partitions {
 			if m.leadsLocked(p) {
 				m.deleteExpiredLocked(p, now)
 			}
 		}
-		m.mu.Unlock()
-	}
+	})
 }
 
 func (m *Manager) deleteExpiredLocked(p *partition, now int64) {
@@ -63,15 +57,8 @@
 // monitorDisk reports this store itself while its disk is not healthy, until ctx
 // ends. It writes then, so that it sees when the disk is healthy again.
 func (m *Manager) monitorDisk(ctx context.Context) {
-	ticker := time.NewTicker(m.timing.diskCheck())
-	defer ticker.Stop()
 	unhealthy := false
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	timeutil.Repeat(ctx, m.timing.diskCheck(), func() {
 		err := m.Health()
 		if err != nil {
 			m.config.ReportFailure(m.config.Self, false)
@@ -81,5 +68,5 @@
 			unhealthy = err != nil
 			m.config.Log.Printf("disk: ill: %v: %v", unhealthy, err) // as docs/operations.md names it
 		}
-	}
+	})
 }
--- /dev/null
+++ b/internal/platform/listeners.go
@@ -0,0 +1,33 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+
+	"saltreel/internal/httpwire"
+	"saltreel/internal/settings"
+)
+
+// Listeners are the sockets of a process that serves clients.
+type Listeners struct {
+	Internal  net.Listener // for our own processes
+	Clients   net.Listener
+	Readiness net.Listener // for the platform
+}
+
+// Listen opens the listeners of a process that serves clients.
+func Listen(listen httpwire.Listen, set *settings.Settings) (opened Listeners, err error) {
+	opened.Internal, err = listen(set.InternalAddress())
+	if err != nil {
+		return opened, fmt.Errorf("listen for our own processes: %w", err)
+	}
+	opened.Clients, err = listen(set.Listeners.DataPlane)
+	if err != nil {
+		return opened, fmt.Errorf("listen for clients: %w", err)
+	}
+	opened.Readiness, err = listen(set.Listeners.Readiness)
+	if err != nil {
+		return opened, fmt.Errorf("listen for readiness: %w", err)
+	}
+	return opened, nil
+}
--- a/internal/timeutil/sleep.go
+++ b/internal/timeutil/sleep.go
@@ -15,3 +15,17 @@
 	case <-t.C:
 	}
 }
+
+// Repeat calls f in each interval, until ctx ends.
+func Repeat(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
