gateway: answers of brokers fit the link; HELLO waits longer; plainer names

Calls name how much an answer may have, and are given longer. HELLO waits for contact-ms/5 instead of refusing a moment before the placement comes, and a placement without partitions counts as none, where a topic had no partition to be in. authorize, handleOutcomes and others replace names of our own.

--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -183,6 +183,24 @@
 	})
 }
 
+func TestAnswersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newBroker(t)
+		lead(b, record(1, 1e9), record(2, 1e9))
+		out := follow(t, b, topic.FollowRequest{Session: "s", Begin: true, MaxBytes: 1, Follow: []topic.Followed{{Topic: "t", Recent: true}, {Topic: "u"}}})
+		if len(out.Topics[0].Entries) != 2 || out.Topics[0].Later || !out.Topics[1].Later || out.Topics[1].NotReady {
+			t.Errorf("%+v", out.Topics)
+		}
+		b.applyEvents([]partition.Event{{Entries: []*partition.Record{record(3, 1e9), record(4, 1e9)}}})
+		for number, want := range [][]int64{{3}, {4}} {
+			answer, _, err := b.handlePoll(t.Context(), &topic.PollRequest{Gateway: "g", Session: "s", Number: int64(number + 1), WaitMs: 100, MaxBytes: 1}, nil)
+			if err != nil || len(answer.Entries) != 1 || answer.Entries[0].Position.Order != want[0] {
+				t.Errorf("poll %d: %+v, %v", number+1, answer, err)
+			}
+		}
+	})
+}
+
 func TestFloorIsThatOfDeletedMessages(t *testing.T) {
 	b, f := newBroker(t)
 	lead(b, record(5, 2000), record(6, 3000), record(7, 4000))
--- a/internal/broker/calls.go
+++ b/internal/broker/calls.go
@@ -74,13 +74,14 @@
 		b.topics.unfollow(name, s)
 	}
 	out := &topic.FollowResponse{}
-	bodies := []byte{}
+	bodies, size, bound := []byte{}, 0, answerBound(in.MaxBytes)
 	for _, f := range in.Follow {
-		state := topic.TopicState{NotReady: true}
-		if len(bodies) < maxPollBytes { // else the gateway asks again for the rest
+		state := topic.TopicState{Later: true}
+		if size < bound {
 			state = b.followLocked(s, f)
 		}
 		for _, e := range state.Entries {
+			size += entryOverhead + e.Length
 			bodies = append(bodies, e.Body...)
 		}
 		out.Topics = append(out.Topics, state)
@@ -131,7 +132,7 @@
 		return &topic.PollResponse{Unknown: true}, nil, nil
 	}
 	for {
-		out, bodies, changed := b.nextOf(s, ctx.Err() != nil)
+		out, bodies, changed := b.nextOf(s, answerBound(in.MaxBytes), ctx.Err() != nil)
 		if out != nil {
 			return out, bodies, nil
 		}
@@ -157,7 +158,7 @@
 
 // nextOf returns the answer to the poll of a session; nil, and a channel that is
 // closed when to look again, if there is nothing to say and the poll may wait.
-func (b *Broker) nextOf(s *session, waitIsOver bool) (*topic.PollResponse, []byte, <-chan struct{}) {
+func (b *Broker) nextOf(s *session, maxBytes int, waitIsOver bool) (*topic.PollResponse, []byte, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !s.ended && !waitIsOver && len(s.outbox) == 0 && len(s.lost) == 0 {
@@ -168,7 +169,7 @@
 	out := &topic.PollResponse{Unknown: s.ended, Lost: s.lost}
 	s.lost = nil
 	bodies := []byte{}
-	for _, r := range s.take() {
+	for _, r := range s.take(maxBytes) {
 		out.Entries = append(out.Entries, topic.EntryOf(r))
 		bodies = append(bodies, r.Body...)
 	}
--- a/internal/broker/session.go
+++ b/internal/broker/session.go
@@ -65,13 +65,21 @@
 	return s.ended || !s.polling && now.Sub(s.lastSeen) > timeout
 }
 
-// maxPollBytes bounds the bodies in the answer to one call.
-const maxPollBytes = 128 << 10
+// maxAnswerBytes bounds the messages in the answer to one call.
+const maxAnswerBytes = 128 << 10
 
-// take removes what the next answer holds from the outbox.
-func (s *session) take() []*partition.Record {
+// answerBound is the bound of an answer to a gateway that wants no more than that.
+func answerBound(wanted int) int {
+	if wanted <= 0 {
+		return maxAnswerBytes
+	}
+	return min(wanted, maxAnswerBytes)
+}
+
+// take removes what the next answer holds from the outbox: a message at least.
+func (s *session) take(maxBytes int) []*partition.Record {
 	size, n := 0, 0
-	for n < len(s.outbox) && (n == 0 || size < maxPollBytes) {
+	for n < len(s.outbox) && (n == 0 || size < maxBytes) {
 		size += entryBytes(s.outbox[n])
 		n++
 	}
--- a/internal/cluster/live_checks_test.go
+++ b/internal/cluster/live_checks_test.go
@@ -107,9 +107,9 @@
 	return problems
 }
 
-// settle waits until the histories are right or do not change for long enough that
+// waitForDeliveries waits until the histories are right or do not change for long enough that
 // what is missing is lost, and returns what is wrong.
-func (w *world) settle(clients []*liveClient, limit time.Duration) []string {
+func (w *world) waitForDeliveries(clients []*liveClient, limit time.Duration) []string {
 	for end := time.Now().Add(limit); ; time.Sleep(100 * time.Millisecond) {
 		problems := checkLive(clients)
 		if len(problems) == 0 || time.Now().After(end) {
--- a/internal/cluster/live_test.go
+++ b/internal/cluster/live_test.go
@@ -87,11 +87,11 @@
 }
 
 // finish stops the publishing and returns what is wrong when the deliveries have
-// settled.
+// ended.
 func (l *liveTraffic) finish() []string {
 	l.stop()
 	l.work.Wait()
-	problems := l.w.settle(l.clients, 8*time.Second)
+	problems := l.w.waitForDeliveries(l.clients, 8*time.Second)
 	l.end()
 	return problems
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -40,7 +40,7 @@
 		defer early.Stop()
 	}
 	answer, err := c.node.Client.CallRaw(callCtx, address, path, in, raw, out)
-	if err != nil && ctx.Err() == nil && isSilence(err) {
+	if err != nil && ctx.Err() == nil && isUnanswered(err) {
 		c.node.ReportFailure(store, httpwire.ConnectionRefused(err))
 	}
 	return answer, err
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -25,9 +25,9 @@
 	name   string // of the client; empty before its HELLO
 	secret string
 
-	lastHeard  atomic.Int64  // time of the last message, in ns of the steady clock
-	unanswered atomic.Int64  // messages to publish that have no answer yet
-	released   chan struct{} // closed when reads are held no longer, at the end
+	lastReceived atomic.Int64  // time of the last message, in ns of the steady clock
+	unanswered   atomic.Int64  // messages to publish that have no answer yet
+	released     chan struct{} // closed when reads are held no longer, at the end
 
 	mu            sync.Mutex
 	subscriptions map[string]*subscription // by topic
@@ -58,11 +58,11 @@
 
 // serveNext reads and handles one message. It reports whether another may follow.
 func (c *clientConn) serveNext(ctx context.Context) (more bool) {
-	if c.conn.SetReadDeadline(time.Now().Add(c.gateway.timing.silence())) != nil {
+	if c.conn.SetReadDeadline(time.Now().Add(c.gateway.timing.idleTimeout())) != nil {
 		return false
 	}
 	command, err := linewire.ReadCommand(c.reader)
-	c.lastHeard.Store(int64(c.gateway.uptime()))
+	c.lastReceived.Store(int64(c.gateway.uptime()))
 	var refused *linewire.RefusedError
 	switch {
 	case errors.As(err, &refused):
@@ -91,7 +91,7 @@
 		return false
 	}
 	table := c.gateway.node.Table()
-	space, reason := judge(table, command.Topic, c.secret, c.gateway.settings.HasTenants())
+	space, reason := authorize(table, command.Topic, c.secret, c.gateway.settings.HasTenants())
 	if reason != "" && command.Word != linewire.Unsubscribe {
 		c.refuse(command, reason)
 		return true
@@ -120,7 +120,7 @@
 	case c.name != "":
 		c.refuse(command, linewire.Malformed)
 		return false
-	case g.stopping.Load() || !g.node.WaitForPlacement(ctx, g.timing.placementWait()):
+	case g.stopping.Load() || !g.node.WaitForPlacement(ctx, g.timing.placementWait()) || !g.knowsBrokers():
 		c.refuse(command, linewire.Retry)
 		return false
 	case g.settings.HasTenants() && command.Secret != "" && g.node.Table().TenantOfKey(command.Secret) == nil:
@@ -153,7 +153,7 @@
 	}
 	c.gateway.hub.subscribe(s)
 	// A configuration that came meanwhile was applied to the others.
-	c.gateway.judgeSubscription(s, c.secret)
+	c.gateway.reauthorize(s, c.secret)
 }
 
 // addSubscription notes a subscription. It returns the former one of the topic, or
@@ -271,7 +271,7 @@
 
 // isPresent reports whether the client has said something lately.
 func (c *clientConn) isPresent() bool {
-	return c.gateway.uptime()-time.Duration(c.lastHeard.Load()) <= c.gateway.timing.present()
+	return c.gateway.uptime()-time.Duration(c.lastReceived.Load()) <= c.gateway.timing.present()
 }
 
 // currentSubscriptions lists the subscriptions of the client.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log"
 	"net"
 	"sync"
@@ -29,6 +28,7 @@
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
+	"saltreel/internal/timeutil"
 	"saltreel/internal/topic"
 )
 
@@ -80,6 +80,7 @@
 	g.hub = newHub(g.timing, g.node.Placement, logger, func(l *link) {
 		g.caller.tasks.Go(func() { l.run(g.serving, g.caller) })
 	})
+	g.hub.link = set.Limits.LinkSpeedMbps * 1e6 / 8
 	g.publishers = newPublishers(g.serving, g.hub, g.caller)
 	g.leases = ratelimit.NewLeases(g.node.Client, g.node.Placement, set.Contact())
 	g.node.Journal.Subscribe(g.applyEvent)
@@ -110,26 +111,32 @@
 		return errors.New("stopping")
 	case g.node.Table() == nil:
 		return errors.New("no configuration is known yet")
-	case g.node.Placement() == nil:
+	case !g.knowsBrokers():
 		return errors.New("no broker is known yet")
 	}
 	return nil
 }
 
+// knowsBrokers reports whether there is a placement with partitions.
+func (g *Gateway) knowsBrokers() bool {
+	p := g.node.Placement()
+	return p != nil && len(p.Partitions) > 0
+}
+
 // Run serves until ctx ends, sends the clients to other gateways, and returns. The
 // error is that of a listener that cannot be opened.
 func (g *Gateway) Run(ctx context.Context) error {
 	defer g.stopServing()
-	listeners, err := g.listen()
+	listeners, err := platform.Listen(g.network.Listen, g.settings)
 	if err != nil {
 		return err
 	}
 	internal := &httpwire.Server{Handle: rpc.Mux{"/news": g.node.Publisher().Handle}.Handle}
 	var tasks sync.WaitGroup
 	for _, task := range []func(){
-		func() { _ = internal.Serve(g.serving, listeners.internal) },
-		func() { g.accept(listeners.clients) },
-		func() { _ = platform.ServeReadiness(g.serving, listeners.readiness, g.ready) },
+		func() { _ = internal.Serve(g.serving, listeners.Internal) },
+		func() { g.accept(listeners.Clients) },
+		func() { _ = platform.ServeReadiness(g.serving, listeners.Readiness, g.ready) },
 		func() { g.node.Run(g.serving) },
 		func() { g.leases.Run(g.serving) },
 		func() { g.quotas.Reap(g.serving) },
@@ -142,7 +149,7 @@
 	<-ctx.Done()
 	g.log.Printf("gateway: stopping, %d clients", len(g.clients.all()))
 	g.drain()
-	_ = listeners.clients.Close()
+	_ = listeners.Clients.Close()
 	g.stopServing()
 	tasks.Wait()
 	g.background.Wait()
@@ -151,29 +158,6 @@
 	return nil
 }
 
-// listeners are the sockets of a gateway.
-type listeners struct {
-	internal  net.Listener // for our own processes
-	clients   net.Listener
-	readiness net.Listener // for the platform
-}
-
-func (g *Gateway) listen() (opened listeners, err error) {
-	opened.internal, err = g.network.Listen(g.settings.InternalAddress())
-	if err != nil {
-		return opened, fmt.Errorf("listen for our own processes: %w", err)
-	}
-	opened.clients, err = g.network.Listen(g.settings.Listeners.DataPlane)
-	if err != nil {
-		return opened, fmt.Errorf("listen for clients: %w", err)
-	}
-	opened.readiness, err = g.network.Listen(g.settings.Listeners.Readiness)
-	if err != nil {
-		return opened, fmt.Errorf("listen for readiness: %w", err)
-	}
-	return opened, nil
-}
-
 // acceptRetryDelay is the wait after a failed Accept, for instance when there are
 // too many open files.
 const acceptRetryDelay = 50 * time.Millisecond
@@ -204,7 +188,7 @@
 			return
 		case <-g.changed:
 		}
-		if g.node.Table() == nil || g.node.Placement() == nil {
+		if g.node.Table() == nil || !g.knowsBrokers() {
 			continue
 		}
 		g.hub.applyPlacement()
@@ -220,15 +204,15 @@
 	}
 	for _, c := range g.clients.all() {
 		for _, s := range c.currentSubscriptions() {
-			g.judgeSubscription(s, c.secret)
+			g.reauthorize(s, c.secret)
 		}
 	}
 }
 
-// judgeSubscription ends a subscription that the newest configuration does not
+// reauthorize ends a subscription that the newest configuration does not
 // allow.
-func (g *Gateway) judgeSubscription(s *subscription, secret string) {
-	if _, reason := judge(g.node.Table(), s.topic, secret, g.settings.HasTenants()); reason != "" {
+func (g *Gateway) reauthorize(s *subscription, secret string) {
+	if _, reason := authorize(g.node.Table(), s.topic, secret, g.settings.HasTenants()); reason != "" {
 		g.hub.end(s, reason)
 	}
 }
@@ -236,17 +220,10 @@
 // maintain reports counts of subscribers and drops topics without any, until ctx
 // ends.
 func (g *Gateway) maintain(ctx context.Context) {
-	ticker := time.NewTicker(g.timing.countReport())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	timeutil.Repeat(ctx, g.timing.countReport(), func() {
 		g.hub.reportCounts()
 		g.hub.dropUnused()
-	}
+	})
 }
 
 // countSubscribers asks the broker of a topic how many subscribers it has.
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -18,6 +18,7 @@
 	placement func() *placement.Placement // the newest; nil before the first
 	startLink func(l *link)               // begins to work off a new link
 	log       *log.Logger
+	link      float64 // bytes a second of this machine's link; 0: not known
 
 	mu    sync.Mutex
 	feeds map[string]*feed // by topic
@@ -80,6 +81,18 @@
 	return topic.PartitionOf(name, len(h.placement().Partitions))
 }
 
+// answerBytes is about how much one answer of a broker may have, so that those of
+// all brokers at once don't occupy the link for long.
+func (h *hub) answerBytes() int {
+	const least = 4 << 10 // one message of usual size, and the frame of the call
+	stores := max(1, len(h.placement().Stores))
+	bytes := int(h.link * h.timing.transfer().Seconds() / float64(stores))
+	if bytes == 0 {
+		return 0
+	}
+	return max(least, bytes)
+}
+
 // primaryOf is the name and the address of the store that leads a partition.
 func (h *hub) primaryOf(number int) (name, address string) {
 	p := h.placement()
@@ -111,7 +124,7 @@
 			f.link.address = address
 			continue
 		}
-		f.link.leave(f)
+		f.link.unfollow(f)
 		h.assignLocked(f)
 		f.rejoin()
 		f.link.join(f)
@@ -128,7 +141,7 @@
 	for name, f := range h.feeds {
 		if len(f.subscriptions) == 0 && time.Since(f.unusedSince) > h.timing.unusedFeed() {
 			delete(h.feeds, name)
-			f.link.leave(f)
+			f.link.unfollow(f)
 		}
 	}
 }
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -60,8 +60,8 @@
 	l.wakeUp()
 }
 
-// leave has the broker told that a feed is followed here no longer.
-func (l *link) leave(f *feed) {
+// unfollow has the broker told that a feed is followed here no longer.
+func (l *link) unfollow(f *feed) {
 	delete(l.feeds, f.topic)
 	delete(l.pending, f.topic)
 	delete(l.counts, f.topic)
@@ -134,7 +134,7 @@
 	if delay := time.Until(l.notBefore); delay > 0 {
 		return nil, "", delay
 	}
-	r = &topic.FollowRequest{Session: l.session.id, Begin: !l.session.begun, Counts: l.counts}
+	r = &topic.FollowRequest{Session: l.session.id, Begin: !l.session.begun, Counts: l.counts, MaxBytes: l.hub.answerBytes()}
 	for name := range l.drops {
 		r.Drop = append(r.Drop, name)
 	}
@@ -185,10 +185,12 @@
 	if f == nil {
 		return
 	}
-	if state.NotReady {
+	if state.NotReady || state.Later {
 		f.rejoin()
 		l.pending[name] = f
-		l.notBefore = time.Now().Add(l.hub.timing.retry())
+		if state.NotReady {
+			l.notBefore = time.Now().Add(l.hub.timing.retry())
+		}
 		return
 	}
 	if f.joined(state) {
@@ -229,7 +231,7 @@
 func (l *link) poll(ctx context.Context, caller *brokerCaller, id string) {
 	for number := int64(1); ctx.Err() == nil; number++ {
 		var out topic.PollResponse
-		request := &topic.PollRequest{Session: id, Number: number, WaitMs: l.hub.timing.pollWait().Milliseconds()}
+		request := &topic.PollRequest{Session: id, Number: number, WaitMs: l.hub.timing.pollWait().Milliseconds(), MaxBytes: l.hub.answerBytes()}
 		raw, err := caller.call(ctx, l.store, l.currentAddress(), topic.PathPoll, l.hub.timing.poll(), request, &out)
 		if err == nil {
 			_, err = topic.SetBodies(out.Entries, raw)
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -108,7 +108,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		if undecided := p.settle(from, batch, p.callBroker(from, batch)); undecided {
+		if undecided := p.handleOutcomes(from, batch, p.callBroker(from, batch)); undecided {
 			p.waitForRetry()
 		}
 	}
@@ -137,9 +137,9 @@
 	return slices.Clone(queue[:n])
 }
 
-// settle answers the messages whose outcome is known, and drops those for which
+// handleOutcomes answers the messages whose outcome is known, and drops those for which
 // nobody waits any more. It reports whether others are left of the call.
-func (p *publishers) settle(from publisherTopic, batch []*publication, outcomes []topic.Outcome) (undecided bool) {
+func (p *publishers) handleOutcomes(from publisherTopic, batch []*publication, outcomes []topic.Outcome) (undecided bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -208,8 +208,8 @@
 	return false
 }
 
-// isSilence reports whether a call failed without an answer.
-func isSilence(err error) bool { return rpc.StatusCode(err) == 0 }
+// isUnanswered reports whether a call failed without an answer.
+func isUnanswered(err error) bool { return rpc.StatusCode(err) == 0 }
 
 // cancelWithPrimary cancels a call to a broker when another store leads the
 // partition.
@@ -240,10 +240,10 @@
 	}
 }
 
-// judge returns the space of a topic for a client with a secret, which may be
+// authorize returns the space of a topic for a client with a secret, which may be
 // empty; else why the client may not use the topic. Without needsKey, no client
 // needs a secret.
-func judge(table *configuration.Table, name, secret string, needsKey bool) (*configuration.Route, linewire.Reason) {
+func authorize(table *configuration.Table, name, secret string, needsKey bool) (*configuration.Route, linewire.Reason) {
 	space := table.Space(name)
 	if space == nil {
 		return nil, linewire.NoSpace
--- a/internal/gateway/timing.go
+++ b/internal/gateway/timing.go
@@ -25,11 +25,12 @@
 }
 
 // placementWait is how long a new client waits for the first configuration and
-// placement.
-func (t timing) placementWait() time.Duration { return t.contact / 8 }
+// placement. After a loss of all power they come within about a second, and a client
+// that is refused comes back later than that.
+func (t timing) placementWait() time.Duration { return t.contact / 5 }
 
-// silence is how long a client may say nothing until it is dropped.
-func (t timing) silence() time.Duration { return 3 * t.ping }
+// idleTimeout is how long a client may say nothing until it is dropped.
+func (t timing) idleTimeout() time.Duration { return 3 * t.ping }
 
 // present is how long after its last word a client counts as a subscriber.
 func (t timing) present() time.Duration { return t.ping * 3 / 2 }
@@ -61,12 +62,17 @@
 // writes to a slow disk fit into it.
 func (t timing) suspect() time.Duration { return t.contact / 10 }
 
-// follow bounds one call that changes what is followed.
-func (t timing) follow() time.Duration { return t.contact / 6 }
+// follow bounds one call that changes what is followed. A call that is given up is
+// made again from the start, so it is long enough for an answer that shares a thin
+// link with those of all other brokers.
+func (t timing) follow() time.Duration { return t.contact / 3 }
+
+// transfer is how long the answers of all brokers at once may occupy the link.
+func (t timing) transfer() time.Duration { return t.contact / 12 }
 
 // pollWait is how long a poll waits at the broker, and poll bounds the call.
 func (t timing) pollWait() time.Duration { return t.contact / 4 }
-func (t timing) poll() time.Duration     { return t.pollWait() + t.contact/8 }
+func (t timing) poll() time.Duration     { return t.pollWait() + t.contact/4 }
 
 // count bounds one question how many subscribers a topic has, and countAnswer the
 // answer to the client.
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -62,12 +62,13 @@
 // sequence of calls of which none may be lost. A broker knows one session of each
 // gateway, the one begun last.
 type FollowRequest struct {
-	Gateway string         `json:"g"`
-	Session string         `json:"s"`
-	Begin   bool           `json:"begin,omitempty"` // the first call of the session
-	Follow  []Followed     `json:"f,omitempty"`
-	Drop    []string       `json:"d,omitempty"` // topics to follow no longer
-	Counts  map[string]int `json:"c,omitempty"` // of the gateway's subscribers, where they changed
+	Gateway  string         `json:"g"`
+	Session  string         `json:"s"`
+	Begin    bool           `json:"begin,omitempty"` // the first call of the session
+	Follow   []Followed     `json:"f,omitempty"`
+	Drop     []string       `json:"d,omitempty"`   // topics to follow no longer
+	Counts   map[string]int `json:"c,omitempty"`   // of the gateway's subscribers, where they changed
+	MaxBytes int            `json:"max,omitempty"` // about as many the answer may have; 0: any
 }
 
 // Followed is a topic that a gateway follows from now on.
@@ -89,6 +90,7 @@
 // TopicState is where a topic stands when a gateway begins to follow it.
 type TopicState struct {
 	NotReady bool               `json:"x,omitempty"` // the broker is not, or not yet, the topic's primary; it is not followed
+	Later    bool               `json:"l,omitempty"` // the answer is full; it is not followed, and may be asked for again at once
 	End      partition.Position `json:"e,omitzero"`  // of the last message; later ones are polled
 	Floor    partition.Position `json:"f,omitzero"`  // messages up to here were deleted after their retention
 	Entries  []Entry            `json:"m,omitempty"` // the messages asked for, up to End
@@ -107,10 +109,11 @@
 
 // PollRequest asks for the next messages of a session, and waits for one.
 type PollRequest struct {
-	Gateway string `json:"g"`
-	Session string `json:"s"`
-	Number  int64  `json:"n"` // counts the polls of the session, from 1
-	WaitMs  int64  `json:"wait"`
+	Gateway  string `json:"g"`
+	Session  string `json:"s"`
+	Number   int64  `json:"n"` // counts the polls of the session, from 1
+	WaitMs   int64  `json:"wait"`
+	MaxBytes int    `json:"max,omitempty"` // about as many the answer may have; 0: any
 }
 
 // PollResponse answers a PollRequest. The bodies of the entries follow the JSON.
