--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -155,78 +155,87 @@
 	}
 }
 
+// feedModel is a feed with its broker, its subscribers, and what is under way
+// between them.
+type feedModel struct {
+	broker    *modelBroker
+	feed      *feed
+	recorders []*recorder
+	firsts    []int64 // of each recorder: the first order it is owed; -1 without a cursor
+	request   *topic.Followed
+	mustJoin  bool
+}
+
+func (m *feedModel) ask() {
+	if m.request == nil && m.mustJoin {
+		r := m.feed.joinRequest(m.feed.subscribers())
+		m.request, m.mustJoin = &r, false
+	}
+}
+
+func (m *feedModel) answer() {
+	if m.request != nil {
+		m.mustJoin = m.feed.joined(m.broker.answer(*m.request)) || m.mustJoin
+		m.request = nil
+	}
+}
+
+// poll delivers the next n messages of the broker.
+func (m *feedModel) poll(n int) {
+	for _, e := range m.broker.polled[:n] {
+		m.mustJoin = m.feed.deliver(e) || m.mustJoin
+	}
+	m.broker.polled = m.broker.polled[n:]
+}
+
+func (m *feedModel) loseSession() {
+	m.feed.rejoin()
+	m.broker.polled, m.request, m.mustJoin = nil, nil, true
+}
+
+func (m *feedModel) subscribe(resumes bool, cursor int64) {
+	to, first := &recorder{}, int64(-1)
+	if resumes {
+		first = cursor + 1
+	}
+	m.recorders, m.firsts = append(m.recorders, to), append(m.firsts, first)
+	m.mustJoin = m.feed.add(subscribeAt(to, resumes, cursor)) || m.mustJoin
+}
+
+// finish brings all that is under way to its end.
+func (m *feedModel) finish() {
+	for m.request != nil || m.mustJoin || len(m.broker.polled) > 0 {
+		m.ask()
+		m.answer()
+		m.poll(len(m.broker.polled))
+	}
+}
+
 // Whatever order messages, answers and losses of the session come in, and whatever
 // is still in memory, each subscription gets each message after its cursor once and
 // in order.
 func TestFeedDeliversOnceAndInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := &modelBroker{}
-		f := newFeed("t", 0)
-		var recorders []*recorder
-		var firsts []int64 // of each recorder: the first order it is owed; -1 until it is answered without a cursor
-		var request *topic.Followed
-		mustJoin := false
-		answer := func() {
-			if request != nil {
-				mustJoin = f.joined(b.answer(*request)) || mustJoin
-				request = nil
-			}
-		}
-		ask := func() {
-			if request == nil && mustJoin {
-				r := f.joinRequest(f.subscribers())
-				request, mustJoin = &r, false
-			}
-		}
+		m := &feedModel{broker: &modelBroker{}, feed: newFeed("t", 0)}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": func(t *rapid.T) {
 				for range rapid.IntRange(1, maxRecentMessages).Draw(t, "messages") {
-					b.publish()
+					m.broker.publish()
 				}
 			},
 			"poll": func(t *rapid.T) {
-				n := rapid.IntRange(0, len(b.polled)).Draw(t, "entries")
-				for _, e := range b.polled[:n] {
-					mustJoin = f.deliver(e) || mustJoin
-				}
-				b.polled = b.polled[n:]
-			},
-			"ask":    func(*rapid.T) { ask() },
-			"answer": func(*rapid.T) { answer() },
-			"lose the session": func(*rapid.T) {
-				f.rejoin()
-				b.polled, request, mustJoin = nil, nil, true
+				m.poll(rapid.IntRange(0, len(m.broker.polled)).Draw(t, "entries"))
 			},
+			"ask":              func(*rapid.T) { m.ask() },
+			"answer":           func(*rapid.T) { m.answer() },
+			"lose the session": func(*rapid.T) { m.loseSession() },
 			"subscribe": func(t *rapid.T) {
-				to := &recorder{}
-				resumes := rapid.Bool().Draw(t, "resumes")
-				cursor := rapid.Int64Range(0, b.last).Draw(t, "cursor")
-				recorders = append(recorders, to)
-				if resumes {
-					firsts = append(firsts, cursor+1)
-				} else {
-					firsts = append(firsts, -1)
-				}
-				mustJoin = f.add(subscribeAt(to, resumes, cursor)) || mustJoin
+				m.subscribe(rapid.Bool().Draw(t, "resumes"), rapid.Int64Range(0, m.broker.last).Draw(t, "cursor"))
 			},
 		})
-		for request != nil || mustJoin {
-			ask()
-			answer()
-		}
-		for _, e := range b.polled {
-			if f.deliver(e) {
-				f.joined(b.answer(f.joinRequest(1)))
-			}
-		}
-		if len(recorders) == 0 {
-			return
-		}
-		for i, to := range recorders {
-			checkRecorder(t, to, firsts[i], f.position.Order)
-		}
-		if f.position.Order != b.last && len(b.polled) > 0 {
-			t.Errorf("the feed is at %v of %d", f.position, b.last)
+		m.finish()
+		for i, to := range m.recorders {
+			checkRecorder(t, to, m.firsts[i], m.broker.last)
 		}
 	})
 }
--- a/internal/realtime/client.go
+++ b/internal/realtime/client.go
@@ -52,10 +52,10 @@
 	return fmt.Sprintf("%s %s is refused: %s", e.Request, e.Topic, e.Reason)
 }
 
-// errRedirected says that the gateway sent the client to another one.
-type errRedirected struct{ address string }
+// redirectedError says that the gateway sent the client to another one.
+type redirectedError struct{ address string }
 
-func (e errRedirected) Error() string { return "sent to " + e.address }
+func (e redirectedError) Error() string { return "sent to " + e.address }
 
 // Subscribe calls deliver for each message of a topic, from a cursor on unless it is
 // empty, until ctx ends or the gateway refuses the subscription.
@@ -144,7 +144,7 @@
 	for {
 		err := c.connect(ctx, address, use)
 		var rejected *RejectedError
-		var redirected errRedirected
+		var redirected redirectedError
 		switch {
 		case err == nil || errors.As(err, &rejected):
 			return err
@@ -217,7 +217,7 @@
 		case err != nil:
 			return nil, fmt.Errorf("read: %w", err)
 		case a.Word == linewire.Redirect:
-			return nil, errRedirected{a.Address}
+			return nil, redirectedError{a.Address}
 		case a.Word != linewire.Pong:
 			return a, nil
 		}
