--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -142,6 +142,27 @@
 	}
 }
 
+// More messages may come while the feed joins than it keeps: it asks for the rest.
+func TestFeedJoinsAgainWhereTooManyMessagesCameEarly(t *testing.T) {
+	b := &modelBroker{}
+	f := newFeed("t", 0)
+	to := &recorder{}
+	f.add(subscribeAt(to, true, 0))
+	stale := b.answer(f.joinRequest(1))
+	for range maxEarly + 5 {
+		b.publish()
+	}
+	for _, e := range b.polled {
+		f.deliver(e)
+	}
+	if !f.joined(stale) || f.joined(b.answer(f.joinRequest(1))) {
+		t.Error("the feed does not join once more")
+	}
+	if got := len(to.orders()); got != maxEarly+5 {
+		t.Errorf("%d of %d messages came", got, maxEarly+5)
+	}
+}
+
 func TestSubscriptionIsExpiredOnlyWhereAMessageWasDeleted(t *testing.T) {
 	for cursor, reason := range map[int64]linewire.Reason{2: linewire.Expired, 3: "", 9: ""} {
 		b := &modelBroker{floor: 3, last: 5}
