saltreel-control: config patch

The operator could send a change of named items by PATCH, and no command did. Tried on loopback: accepted, acknowledged again with --if-match, refused with the reason where it is unreadable, has no revision, or makes an invalid configuration.

--- a/cmd/saltreel-control/orders.go
+++ b/cmd/saltreel-control/orders.go
@@ -21,7 +21,7 @@
 
 func configCommand(client newClient) *cobra.Command {
 	cmd := &cobra.Command{Use: "config", Short: "Read, check or send the configuration"}
-	cmd.AddCommand(configGetCommand(client), configPutCommand(client), configCheckCommand())
+	cmd.AddCommand(configGetCommand(client), configPutCommand(client), configPatchCommand(client), configCheckCommand())
 	return cmd
 }
 
@@ -40,11 +40,35 @@
 }
 
 func configPutCommand(client newClient) *cobra.Command {
+	return changeCommand("put FILE", "Send a configuration; - reads standard input", client,
+		func(cmd *cobra.Command, path string) (raw []byte, revision int64, err error) {
+			raw, parsed, err := readConfiguration(cmd, path)
+			return raw, parsed.GetRevision(), err
+		}, (*operator.Client).PutConfiguration)
+}
+
+func configPatchCommand(client newClient) *cobra.Command {
+	return changeCommand("patch FILE", "Send a change of named items of the configuration; - reads standard input", client,
+		func(cmd *cobra.Command, path string) (raw []byte, revision int64, err error) {
+			if raw, err = readFile(cmd, path); err != nil {
+				return nil, 0, err
+			}
+			revision, err = configuration.PatchRevision(raw)
+			return raw, revision, err
+		}, (*operator.Client).PatchConfiguration)
+}
+
+// changeCommand makes a command that reads a file and sends it as a change that
+// builds on a revision.
+func changeCommand(use, short string, client newClient,
+	read func(cmd *cobra.Command, path string) (raw []byte, revision int64, err error),
+	send func(c *operator.Client, ctx context.Context, raw []byte, match int64) error,
+) *cobra.Command {
 	var match int64
 	cmd := &cobra.Command{
-		Use: "put FILE", Short: "Send a configuration; - reads standard input", Args: cobra.ExactArgs(1),
+		Use: use, Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			raw, parsed, err := readConfiguration(cmd, args[0])
+			raw, revision, err := read(cmd, args[0])
 			if err != nil {
 				return err
 			}
@@ -54,10 +78,10 @@
 					return err
 				}
 			}
-			if err := c.PutConfiguration(cmd.Context(), raw, match); err != nil {
+			if err := send(c, cmd.Context(), raw, match); err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d was taken\n", parsed.Revision)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "revision %d was taken\n", revision)
 			return err
 		},
 	}
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -16,6 +16,19 @@
 	Withdraw map[string][]string        `json:"withdraw"` // by table: names of items to remove
 }
 
+// PatchRevision reads a patch and returns the revision that it makes.
+func PatchRevision(raw []byte) (int64, error) {
+	var p patch
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return 0, fmt.Errorf("patch cannot be read: %w", err)
+	}
+	var revision int64
+	if err := json.Unmarshal(p.Revision, &revision); err != nil || revision <= 0 {
+		return 0, fmt.Errorf("patch: revision %q must be a number over 0", p.Revision)
+	}
+	return revision, nil
+}
+
 // ApplyPatch returns the configuration that a patch makes of another one. It does
 // not check the result: Parse does. An error means that the patch cannot be read.
 func ApplyPatch(current, raw []byte) ([]byte, error) {
--- a/internal/configuration/patch_test.go
+++ b/internal/configuration/patch_test.go
@@ -5,6 +5,14 @@
 	"testing"
 )
 
+func TestPatchRevision(t *testing.T) {
+	for raw, want := range map[string]int64{`{"revision":9}`: 9, `{"revision":0}`: 0, `{}`: 0, `{"revision":"x"}`: 0, `{`: 0} {
+		if got, err := PatchRevision([]byte(raw)); got != want || (err == nil) != (want > 0) {
+			t.Errorf("%s: %d, %v", raw, got, err)
+		}
+	}
+}
+
 func TestApplyPatch(t *testing.T) {
 	current := `{"revision":7,"unknown":{"x":1},"route-table":[{"name":"a","new":1},{"name":"b","retention-s":35.0},{"name":"c"}],"limits":{"subscriptions":5}}`
 	for name, c := range map[string]struct{ current, patch, want, err string }{
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -100,8 +100,17 @@
 // PutConfiguration sends a configuration that is based on the revision match.
 // The text of the error says what the operator is to do.
 func (c *Client) PutConfiguration(ctx context.Context, raw []byte, match int64) error {
+	return c.changeConfiguration(ctx, http.MethodPut, raw, match)
+}
+
+// PatchConfiguration is PutConfiguration for a change of named items.
+func (c *Client) PatchConfiguration(ctx context.Context, raw []byte, match int64) error {
+	return c.changeConfiguration(ctx, http.MethodPatch, raw, match)
+}
+
+func (c *Client) changeConfiguration(ctx context.Context, method string, raw []byte, match int64) error {
 	_, err := c.Do(ctx, httpwire.Call{
-		Method: http.MethodPut,
+		Method: method,
 		Target: "/v1/configuration",
 		Body:   raw,
 		Header: []string{"If-Match", strconv.FormatInt(match, 10), "Content-Type", "application/json"},
