gateway, broker, edge: one search, one wait and one call where there were copies

The search for the entries after a position stood in partition and in broker; the wait for a delay or a wake-up in edge and twice in gateway (timeutil.SleepUntil). A gateway told messages that were certainly not stored from unclear ones and then treated both alike: that distinction is gone from it, the broker still gives it. Two calls that filled in the gateway's name by type, a method that only passed on, and an optional interface are gone too.

--- a/internal/broker/calls.go
+++ b/internal/broker/calls.go
@@ -104,7 +104,7 @@
 	b.setCountLocked(s, f.Topic, f.Subscribers)
 	state := topic.TopicState{End: t.end(), Floor: t.floor}
 	if f.Recent {
-		for _, r := range t.after(f.After) {
+		for _, r := range partition.EntriesAfter(t.entries, f.After) {
 			state.Entries = append(state.Entries, topic.EntryOf(r))
 		}
 	}
--- a/internal/broker/topics.go
+++ b/internal/broker/topics.go
@@ -26,17 +26,6 @@
 	return t.entries[len(t.entries)-1].Position()
 }
 
-// after returns the messages after a position.
-func (t *topicLog) after(p partition.Position) []*partition.Record {
-	first, _ := slices.BinarySearchFunc(t.entries, p, func(r *partition.Record, p partition.Position) int {
-		if r.Position().After(p) {
-			return 1
-		}
-		return -1
-	})
-	return t.entries[first:]
-}
-
 // count is the number of subscribers at all gateways.
 func (t *topicLog) count() int {
 	total := 0
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -9,6 +9,7 @@
 	"saltreel/internal/partition"
 	"saltreel/internal/placement"
 	"saltreel/internal/store"
+	"saltreel/internal/timeutil"
 )
 
 // noPartition stands for no partition.
@@ -55,7 +56,7 @@
 		if final := e.handleFailure(ctx, &f, p, target, err); final != nil {
 			return 0, final
 		}
-		waitForChange(ctx, e.retryDelay(&f, p), placementChanged)
+		timeutil.SleepUntil(ctx, e.retryDelay(&f, p), placementChanged)
 		if ctx.Err() != nil {
 			return 0, f.deadlineError(err)
 		}
@@ -163,14 +164,3 @@
 	}
 	return &notAcceptedError{cause: last}
 }
-
-// waitForChange waits until changed is closed, for delay at most, or until ctx ends.
-func waitForChange(ctx context.Context, delay time.Duration, changed <-chan struct{}) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-changed:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -12,6 +12,7 @@
 	"saltreel/internal/httpwire"
 	"saltreel/internal/rpc"
 	"saltreel/internal/store"
+	"saltreel/internal/timeutil"
 )
 
 // errNoSuchMessage says that a name cannot be that of a message.
@@ -91,7 +92,7 @@
 		} else {
 			err = &rpc.StatusError{Code: answer.Status, Text: string(answer.Body)}
 		}
-		waitForChange(ctx, e.timing.queryRetryDelay(), placementChanged)
+		timeutil.SleepUntil(ctx, e.timing.queryRetryDelay(), placementChanged)
 		if ctx.Err() != nil {
 			return nil, err
 		}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -7,6 +7,7 @@
 
 	"saltreel/internal/httpwire"
 	"saltreel/internal/node"
+	"saltreel/internal/rpc"
 	"saltreel/internal/topic"
 )
 
@@ -19,20 +20,9 @@
 	tasks   sync.WaitGroup
 }
 
-// call makes one call, and returns the raw bytes behind the answer. The names of
-// the gateway are filled in.
-func (c *brokerCaller) call(ctx context.Context, store, address, path string, timeout time.Duration, in, out any) ([]byte, error) {
-	switch in := in.(type) {
-	case *topic.FollowRequest:
-		in.Gateway = c.gateway
-	case *topic.PollRequest:
-		in.Gateway = c.gateway
-	}
-	return c.callWith(ctx, store, address, path, timeout, in, nil, out)
-}
-
-// callWith is call with raw bytes behind the request.
-func (c *brokerCaller) callWith(ctx context.Context, store, address, path string, timeout time.Duration, in any, raw []byte, out any) ([]byte, error) {
+// call makes one call, with raw bytes behind it unless raw is nil, and returns those
+// behind the answer.
+func (c *brokerCaller) call(ctx context.Context, store, address, path string, timeout time.Duration, in any, raw []byte, out any) ([]byte, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if path != topic.PathPoll {
@@ -40,7 +30,7 @@
 		defer early.Stop()
 	}
 	answer, err := c.node.Client.CallRaw(callCtx, address, path, in, raw, out)
-	if err != nil && ctx.Err() == nil && isUnanswered(err) {
+	if err != nil && ctx.Err() == nil && rpc.StatusCode(err) == 0 { // there was no answer
 		c.node.ReportFailure(store, httpwire.ConnectionRefused(err))
 	}
 	return answer, err
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -206,7 +206,7 @@
 		}
 		g.publishers.add(publisherTopic{c.name, command.Topic}, m)
 	}
-	c.hold(g.throttle(c.quotaTenant(m.tenant), space.Name, len(command.Body), time.Since(received), throttle))
+	c.hold(g.quotas.RecordRequest(c.quotaTenant(m.tenant), space.Name, len(command.Body), time.Since(received), throttle))
 }
 
 // quotaTenant is whom the quotas of this node count a client for: its tenant, or
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -14,6 +14,8 @@
 	send(frame []byte)
 	// reject answers a subscription, or ends it.
 	reject(s *subscription, reason linewire.Reason)
+	// isPresent reports whether it is there: it may be gone without a word.
+	isPresent() bool
 }
 
 // subscription is one topic of one connection.
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -26,6 +26,8 @@
 
 func (r *recorder) reject(_ *subscription, reason linewire.Reason) { r.rejected = reason }
 
+func (r *recorder) isPresent() bool { return true }
+
 // orders returns the orders of the messages that came, behind the OK.
 func (r *recorder) orders() (orders []int64) {
 	for _, line := range r.lines {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,7 +24,6 @@
 	"saltreel/internal/linewire"
 	"saltreel/internal/node"
 	"saltreel/internal/platform"
-	"saltreel/internal/quota"
 	"saltreel/internal/ratelimit"
 	"saltreel/internal/rpc"
 	"saltreel/internal/settings"
@@ -232,7 +231,7 @@
 	store, address := g.hub.primaryOf(number)
 	var out topic.CountResponse
 	request := topic.CountRequest{Topic: name, Partition: number}
-	_, err := g.caller.call(ctx, store, address, topic.PathCount, g.timing.count(), request, &out)
+	_, err := g.caller.call(ctx, store, address, topic.PathCount, g.timing.count(), request, nil, &out)
 	return out.Count, err
 }
 
@@ -248,12 +247,6 @@
 	return g.leases.Acquire(ctx, tenant)
 }
 
-// throttle records what a message used, and returns the longest throttle time X and
-// the quota that asks for it. A tenant that is over its rate is held for accepted.
-func (g *Gateway) throttle(tenant, space string, bytes int, worked, accepted time.Duration) (time.Duration, *quota.Manager) {
-	return g.quotas.RecordRequest(tenant, space, bytes, worked, accepted)
-}
-
 // logRefusal logs that a client sent something unreadable: once in a while, since
 // it may do nothing else.
 func (g *Gateway) logRefusal(c *clientConn, refused *linewire.RefusedError) {
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -159,14 +159,11 @@
 	}
 }
 
-// presence is implemented by a subscriber that may be gone without a word.
-type presence interface{ isPresent() bool }
-
 // subscribers counts the subscriptions of those who are there.
 func (f *feed) subscribers() int {
 	n := 0
 	for s := range f.subscriptions {
-		if p, ok := s.to.(presence); !ok || p.isPresent() {
+		if s.to.isPresent() {
 			n++
 		}
 	}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"saltreel/internal/timeutil"
 	"saltreel/internal/topic"
 )
 
@@ -94,7 +95,7 @@
 		for ctx.Err() == nil {
 			request, address, delay := l.nextRequest()
 			if delay > 0 {
-				l.waitForRetry(ctx, delay)
+				timeutil.SleepUntil(ctx, delay, l.wake)
 				continue
 			}
 			if request == nil {
@@ -105,17 +106,6 @@
 	}
 }
 
-// waitForRetry waits for a delay, or until the link is woken.
-func (l *link) waitForRetry(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-l.wake:
-	case <-ctx.Done():
-	}
-}
-
 // maxFollowed bounds the topics in one call.
 const maxFollowed = 512
 
@@ -152,7 +142,8 @@
 // follow makes one call and takes over the answer.
 func (l *link) follow(ctx context.Context, caller *brokerCaller, address string, r *topic.FollowRequest) {
 	var out topic.FollowResponse
-	raw, err := caller.call(ctx, l.store, address, topic.PathFollow, l.hub.timing.follow(), r, &out)
+	r.Gateway = caller.gateway
+	raw, err := caller.call(ctx, l.store, address, topic.PathFollow, l.hub.timing.follow(), r, nil, &out)
 	if err == nil {
 		err = out.SetBodies(raw)
 	}
@@ -231,8 +222,11 @@
 func (l *link) poll(ctx context.Context, caller *brokerCaller, id string) {
 	for number := int64(1); ctx.Err() == nil; number++ {
 		var out topic.PollResponse
-		request := &topic.PollRequest{Session: id, Number: number, WaitMs: l.hub.timing.pollWait().Milliseconds(), MaxBytes: l.hub.answerBytes()}
-		raw, err := caller.call(ctx, l.store, l.currentAddress(), topic.PathPoll, l.hub.timing.poll(), request, &out)
+		request := topic.PollRequest{
+			Gateway: caller.gateway, Session: id, Number: number,
+			WaitMs: l.hub.timing.pollWait().Milliseconds(), MaxBytes: l.hub.answerBytes(),
+		}
+		raw, err := caller.call(ctx, l.store, l.currentAddress(), topic.PathPoll, l.hub.timing.poll(), request, nil, &out)
 		if err == nil {
 			_, err = topic.SetBodies(out.Entries, raw)
 		}
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"saltreel/internal/configuration"
-	"saltreel/internal/httpwire"
 	"saltreel/internal/linewire"
-	"saltreel/internal/rpc"
+	"saltreel/internal/timeutil"
 	"saltreel/internal/topic"
 )
 
@@ -109,7 +107,8 @@
 			return
 		}
 		if undecided := p.handleOutcomes(from, batch, p.callBroker(from, batch)); undecided {
-			p.waitForRetry()
+			// A new placement may name a broker that accepts.
+			timeutil.SleepUntil(p.ctx, p.hub.timing.retry(), p.caller.node.PlacementChanged())
 		}
 	}
 }
@@ -183,34 +182,13 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	go p.cancelWithPrimary(ctx, cancel, number, store)
-	_, err := p.caller.callWith(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
+	_, err := p.caller.call(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
 	if err == nil && len(out.Outcomes) == len(batch) {
 		return out.Outcomes
 	}
-	outcomes := make([]topic.Outcome, len(batch)) // indeterminate
-	if err != nil && storedNothing(err) {
-		for i := range outcomes {
-			outcomes[i] = topic.NotStored
-		}
-	}
-	return outcomes
-}
-
-// storedNothing reports whether the error of a call to publish says that nothing
-// was stored.
-func storedNothing(err error) bool {
-	switch rpc.StatusCode(err) {
-	case http.StatusMisdirectedRequest, http.StatusServiceUnavailable:
-		return true
-	case 0:
-		return httpwire.NotSent(err)
-	}
-	return false
+	return make([]topic.Outcome, len(batch)) // all are indeterminate
 }
 
-// isUnanswered reports whether a call failed without an answer.
-func isUnanswered(err error) bool { return rpc.StatusCode(err) == 0 }
-
 // cancelWithPrimary cancels a call to a broker when another store leads the
 // partition.
 func (p *publishers) cancelWithPrimary(ctx context.Context, cancel context.CancelFunc, number int, store string) {
@@ -228,18 +206,6 @@
 	}
 }
 
-// waitForRetry waits until a broker may be asked again: for a moment, or until
-// there is a new placement.
-func (p *publishers) waitForRetry() {
-	timer := time.NewTimer(p.hub.timing.retry())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-p.caller.node.PlacementChanged():
-	case <-p.ctx.Done():
-	}
-}
-
 // authorize returns the space of a topic for a client with a secret, which may be
 // empty; else why the client may not use the topic. Without needsKey, no client
 // needs a secret.
--- a/internal/partition/topiclog.go
+++ b/internal/partition/topiclog.go
@@ -150,15 +150,16 @@
 	return l.through
 }
 
-// after returns the entries after a position.
-func (l *topicLog) after(p Position) []*Record {
-	first, _ := slices.BinarySearchFunc(l.entries, p, func(r *Record, p Position) int {
+// EntriesAfter returns those of entries, which are in order, that are after a
+// position.
+func EntriesAfter(entries []*Record, p Position) []*Record {
+	first, _ := slices.BinarySearchFunc(entries, p, func(r *Record, p Position) int {
 		if r.Position().After(p) {
 			return 1
 		}
 		return -1
 	})
-	return l.entries[first:]
+	return entries[first:]
 }
 
 // maxIdleTopics bounds the topics without entries whose last position is known.
@@ -201,7 +202,7 @@
 	var tail []*pendingAccept
 	if p.released != (Position{}) {
 		log.recovery.tailAccepted = true
-		for _, r := range log.after(p.released) {
+		for _, r := range EntriesAfter(log.entries, p.released) {
 			tail = append(tail, p.acceptAgain(r))
 		}
 	}
--- a/internal/timeutil/sleep.go
+++ b/internal/timeutil/sleep.go
@@ -7,11 +7,15 @@
 )
 
 // Sleep waits for d, or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) {
+func Sleep(ctx context.Context, d time.Duration) { SleepUntil(ctx, d, nil) }
+
+// SleepUntil waits for d, or until ctx ends or wake is closed or has a value.
+func SleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-wake:
 	case <-t.C:
 	}
 }
