--- /dev/null
+++ b/review/standin/handler.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// run is one start of a message at a handler.
+type run struct {
+	id, path, orderKey string
+	handler            string
+	began, ended       time.Time // ended is when its own answer was written
+	status             int
+}
+
+// answer is what a handler makes of one delivery.
+type answer struct {
+	work   time.Duration
+	status int
+	again  time.Duration // a second answer comes so much later; 0: none
+	after  func()        // called once the answer is written
+}
+
+// handlerServer is the handler of one service, at a fixed endpoint.
+type handlerServer struct {
+	name    string
+	record  *record
+	answers func(id, path, key string, try int) answer
+
+	mu    sync.Mutex
+	runs  []*run
+	tries map[string]int
+	seals int
+}
+
+func startHandler(c *cluster, name string, address string, answers func(id, path, key string, try int) answer) (*handlerServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	h := &handlerServer{name: name, record: c.record, answers: answers, tries: map[string]int{}}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go h.serve(conn)
+		}
+	}()
+	return h, nil
+}
+
+// serve answers the requests of one connection, one at a time.
+func (h *handlerServer) serve(conn net.Conn) {
+	defer conn.Close()
+	var writing sync.Mutex
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("Saltreel-Attempt-Id")
+		key := request.Header.Get("Saltreel-Order-Key")
+		r := &run{id: id, path: request.URL.Path, orderKey: key, handler: h.name, began: time.Now()}
+		h.mu.Lock()
+		h.runs = append(h.runs, r)
+		h.tries[id]++
+		try := h.tries[id]
+		h.seals++
+		seal := fmt.Sprintf("%s.%d", h.name, h.seals)
+		h.mu.Unlock()
+		h.record.line("handler %s: run %d of %s (%s key %q) begins", h.name, try, id, r.path, key)
+		a := h.answers(id, r.path, key, try)
+		time.Sleep(a.work)
+		header := fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: 0\r\nSaltreel-Attempt-Id: %s\r\nKeep-Alive: timeout=30\r\n", a.status, id)
+		if a.status == 200 {
+			header += "Saltreel-Server-Seal: " + seal + "\r\n"
+		}
+		_ = body
+		writing.Lock()
+		_, err = io.WriteString(conn, header+"\r\n")
+		writing.Unlock()
+		h.mu.Lock()
+		r.ended, r.status = time.Now(), a.status
+		h.mu.Unlock()
+		h.record.line("handler %s: run %d of %s is answered with %d (%v)", h.name, try, id, a.status, err)
+		if a.after != nil {
+			a.after()
+		}
+		if err != nil {
+			return
+		}
+		if a.again > 0 {
+			time.AfterFunc(a.again, func() {
+				writing.Lock()
+				defer writing.Unlock()
+				_, err := io.WriteString(conn, header+"\r\n")
+				h.record.line("handler %s: second answer to run %d of %s: %d again (%v)", h.name, try, id, a.status, err)
+			})
+		}
+	}
+}
+
+// all is a copy of the runs, in the order of their starts.
+func (h *handlerServer) all() []run {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []run
+	for _, r := range h.runs {
+		out = append(out, *r)
+	}
+	return out
+}
