--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -150,10 +151,13 @@
 func checkOrder(v *verdict, r *record, all []accepted, runs []run, maxAttempts int) {
 	ends, begins := map[string]time.Time{}, map[string]time.Time{}
 	failures := map[string]int{}
-	for _, x := range runs {
+	for _, x := range runs { // in the order of their beginnings
 		if begins[x.id].IsZero() {
 			begins[x.id] = x.began
 		}
+	}
+	slices.SortFunc(runs, func(a, b run) int { return a.ended.Compare(b.ended) })
+	for _, x := range runs {
 		if x.ended.IsZero() || !ends[x.id].IsZero() {
 			continue
 		}
