--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,6 +51,7 @@
 	"live-number": numberCase,
 	"endpoint":    endpointCase,
 	"order":       orderCase,
+	"live-resume": resumeCase,
 }
 
 func main() { os.Exit(play()) }
