--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -64,7 +64,7 @@
 
 // resumeCase has a subscriber leave for some seconds and come back with its cursor.
 func resumeCase(c *cluster) (*verdict, error) {
-	const number = 90
+	const number = 200
 	if err := c.begin(c.liveConfiguration(1, 500, 500)); err != nil {
 		return nil, err
 	}
@@ -87,13 +87,13 @@
 			if err == nil && answer == "ACK" {
 				acknowledged[n] = time.Now()
 			}
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(45 * time.Millisecond)
 		}
 		published <- acknowledged
 	}()
 	if trouble {
 		c.record.line("disruption: the subscriber has left, at cursor %s", f.cursor)
-		time.Sleep(10 * time.Second)
+		time.Sleep(11 * time.Second)
 		c.record.line("the subscriber comes back")
 	}
 	f.follow(time.Now().Add(18 * time.Second))
