--- a/review/standin/handler.go
+++ b/review/standin/handler.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,16 +18,30 @@
 	handler            string
 	began, ended       time.Time // ended is when its own answer was written
 	status             int
+	open               bool      // the sender's connection was open when the answer was written
 	lost               time.Time // when the sender's connection ended; zero while it is open
+	clean              bool      // it ended in order, without a reset
 }
 
-// readMargin is in what time a process that runs has read an answer on loopback, with
-// much to spare.
-const readMargin = 25 * time.Millisecond
+// wasRead reports whether the sender has certainly read the answer. Its connection was
+// open when the answer was written, which on loopback puts the answer into the sender's
+// buffer. If the connection ends in order later, the buffer was empty then: the kernel
+// resets a connection that is closed with unread bytes, also at the end of a process.
+func (r *run) wasRead() bool { return r.open && (r.lost.IsZero() || r.clean) }
 
-// wasRead reports whether the sender has certainly read the answer: it kept the
-// connection open for longer than reading takes.
-func (r *run) wasRead() bool { return r.lost.IsZero() || r.lost.Sub(r.ended) > readMargin }
+// isOpen reports whether the other side has not closed a connection.
+func isOpen(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && open
+}
 
 // answer is what a handler makes of one delivery.
 type answer struct {
@@ -68,12 +84,13 @@
 // serve answers the requests of one connection, one at a time.
 func (h *handlerServer) serve(conn net.Conn) {
 	var mine []*run
+	clean := false
 	defer func() {
 		_ = conn.Close()
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for _, r := range mine {
-			r.lost = time.Now()
+			r.lost, r.clean = time.Now(), clean
 		}
 	}()
 	var writing sync.Mutex
@@ -81,6 +98,7 @@
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
+			clean = errors.Is(err, io.EOF)
 			return
 		}
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
@@ -105,11 +123,12 @@
 			header += "Saltreel-Server-Seal: " + seal + "\r\n"
 		}
 		writing.Lock()
-		_, err = io.WriteString(conn, header+"\r\n")
-		writing.Unlock()
+		open := isOpen(conn)
 		h.mu.Lock()
-		r.ended, r.status = time.Now(), a.status
+		r.ended, r.status, r.open = time.Now(), a.status, open
 		h.mu.Unlock()
+		_, err = io.WriteString(conn, header+"\r\n")
+		writing.Unlock()
 		h.record.line("handler %s: run %d of %s is answered with %d (%v)", h.name, try, id, a.status, err)
 		if a.after != nil {
 			a.after()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,6 +51,7 @@
 	"live-number": numberCase,
 	"endpoint":    endpointCase,
 	"order":       orderCase,
+	"roll":        rollCase,
 	"live-resume": resumeCase,
 }
 
