--- a/review/standin/overlap.go
+++ b/review/standin/overlap.go
@@ -166,17 +166,18 @@
 		lone = onlyCopies(c.placement(3), name)
 	}
 	c.signal(second, store, syscall.SIGKILL)
+	struck := time.Now()
 	c.wait(second, store)
 	if err := os.RemoveAll(c.dataPath(second, store)); err != nil {
 		return nil, err
 	}
-	c.record.line("disruption: store-%d loses its disk, %v later", second, time.Since(killed).Round(time.Millisecond))
-	time.Sleep(time.Until(killed.Add(2800 * time.Millisecond)))
-	if err := c.start(first, store, false); err != nil {
+	c.record.line("disruption: store-%d, killed %v after store-%d, has lost its disk", second, struck.Sub(killed).Round(time.Millisecond), first)
+	time.Sleep(time.Until(struck.Add(2 * time.Second)))
+	if err := c.start(second, store, false); err != nil {
 		return nil, err
 	}
-	c.record.line("platform: store-%d is started again, with its disk", first)
-	time.Sleep(time.Second)
 	c.record.line("platform: store-%d is started again, with an empty disk", second)
-	return lone, c.start(second, store, false)
+	time.Sleep(time.Until(killed.Add(2800 * time.Millisecond)))
+	c.record.line("platform: store-%d is started again, with its disk", first)
+	return lone, c.start(first, store, false)
 }
