--- a/review/standin/roll.go
+++ b/review/standin/roll.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-// rollCase stops and starts the stores in turn while runs take up to two seconds.
+// rollCase stops and starts the stores in turn while runs take up to 3.5 s.
 func rollCase(c *cluster) (*verdict, error) {
 	address := c.listenAddress(7, 1)
 	h, err := startHandler(c, "press", address, func(string, string, string, int) answer {
-		return answer{work: 50*time.Millisecond + rand.N(1950*time.Millisecond), status: 200}
+		return answer{work: 50*time.Millisecond + rand.N(3450*time.Millisecond), status: 200}
 	})
 	if err != nil {
 		return nil, err
 	}
-	routes := []map[string]any{route("r-print", "/print/", "press", 2500, 3, false)}
+	routes := []map[string]any{route("r-print", "/print/", "press", 4000, 3, false)}
 	services := []map[string]any{service("press", address, 1400, 0)}
 	if err := c.begin(configuration(1, routes, services, tenant(500, 500), 262144)); err != nil {
 		return nil, err
