--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -106,13 +106,9 @@
 	if partition.Epoch != replica.Epoch {
 		return false, partition.Epoch > replica.Epoch
 	}
-	at := partition.BackupIndex(replica.Store)
-	switch {
-	case at < 0:
+	if !partition.Has(replica.Store) {
 		return false, false
-	case partition.Backups[at].InSync:
-		return false, true
 	}
-	partition.Backups[at].InSync = true
-	return true, false
+	marked = partition.MarkInSync(replica.Store)
+	return marked, !marked
 }
--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -10,13 +10,16 @@
 )
 
 // HandleDigest lists what is held here of a partition. It returns a
-// *NotPrimaryError if the partition is not known here.
+// *NotPrimaryError if the partition is not known here, or ErrOtherDisk.
 func (m *Manager) HandleDigest(_ context.Context, in *DigestRequest, _ []byte) (*DigestResponse, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.knowsLocked(in.Partition) {
 		return nil, &NotPrimaryError{in.Partition}
 	}
+	if in.Disk != "" && in.Disk != m.storage.identity {
+		return nil, ErrOtherDisk
+	}
 	p := m.partitions[in.Partition]
 	// The placement may arrive later: who asks under a newer epoch is its primary.
 	if in.From != "" && p.epoch < in.Epoch && m.leadsLocked(p) {
@@ -111,7 +114,7 @@
 
 // HandleFetch answers a FetchRequest with the records that are here, as a
 // PartitionBatch and their bodies. What is over maxFetchBytes is left out, and what
-// an outdated replica holds as pending.
+// an outdated replica holds as pending, unless the request asks for it.
 func (m *Manager) HandleFetch(_ context.Context, in *FetchRequest, _ []byte) (*PartitionBatch, []byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -119,7 +122,7 @@
 		return nil, nil, ErrUnknownPartition
 	}
 	p := m.partitions[in.Partition]
-	outdated := m.isOutdatedLocked(p)
+	outdated := m.isOutdatedLocked(p) && !in.OutdatedToo
 	batch := &PartitionBatch{Partition: in.Partition, Now: m.Now()}
 	bodies := []byte{}
 	for _, id := range in.IDs {
@@ -145,7 +148,7 @@
 	p := m.partitions[n]
 	epoch, address := p.epoch, m.placement.Stores[peer].Address
 	m.mu.Unlock()
-	batch, bodies, err := m.callFetch(ctx, address, FetchRequest{n, ids})
+	batch, bodies, err := m.callFetch(ctx, address, FetchRequest{Partition: n, IDs: ids})
 	if err != nil {
 		return err
 	}
@@ -172,12 +175,10 @@
 // were there; it ends at the first that is not.
 func (m *Manager) adoptLocked(p *partition, batch PartitionBatch, bodies []byte) bool {
 	for _, r := range batch.Records {
-		if r.Length > len(bodies) {
+		var complete bool
+		if bodies, complete = m.receiveRecord(p, r, bodies, m.Now()-batch.Now); !complete {
 			return false
 		}
-		r.Partition = p.number
-		r.shiftTimes(m.Now() - batch.Now)
-		r.Body, bodies = slices.Clone(bodies[:r.Length]), bodies[r.Length:]
 		if old := p.records.byID[r.ID]; old != nil && r.State <= old.State {
 			continue
 		}
@@ -189,6 +190,19 @@
 	return true
 }
 
+// receiveRecord completes a record that another store sent: it takes its body from the
+// front of bodies and returns the rest. ok is false if that is too short. clockShift is
+// how far this store's clock is ahead of the other's, in ms.
+func (m *Manager) receiveRecord(p *partition, r *Record, bodies []byte, clockShift int64) (rest []byte, ok bool) {
+	if r.Length > len(bodies) {
+		return bodies, false
+	}
+	r.Partition = p.number
+	r.shiftTimes(clockShift)
+	r.Body = slices.Clone(bodies[:r.Length])
+	return bodies[r.Length:], true
+}
+
 // Find returns the record of a message, as its primary. One that is not here is
 // looked for at the backups, and taken from there. It returns a *NotPrimaryError,
 // ErrUnknownMessage, ErrIndeterminate where messages have backups and none could
--- a/internal/partition/assignment.go
+++ b/internal/partition/assignment.go
@@ -70,6 +70,10 @@
 	p.epoch = assignment.Epoch
 	p.primary = assignment.Primary
 	p.isBackup = assignment.BackupIndex(m.config.Self) >= 0
+	p.sources = nil
+	if !wasPrimary && p.primary == m.config.Self {
+		p.sources = assignment.Sources
+	}
 	p.handover.resume()
 	m.epochs[p.number] = p.epoch
 	p.announceChange()
@@ -93,6 +97,9 @@
 	for _, r := range p.replicas {
 		m.startReplicatorLocked(r.store)
 	}
+	if len(p.sources) > 0 {
+		m.background.tasks.Go(func() { m.recoverFromSources(p, assignment, formerPrimary) })
+	}
 }
 
 // sequenceGap is more than the changes that one process makes in an epoch.
@@ -108,7 +115,7 @@
 	m.becomeLogPrimaryLocked(p)
 	// A former primary that handed the partition over is a backup now, and holds
 	// nothing that is not here. One that is none was taken for failed.
-	if _, known := m.placement.Stores[former]; known && assignment.BackupIndex(former) < 0 {
+	if _, known := m.placement.Stores[former]; known && former != m.config.Self && assignment.BackupIndex(former) < 0 {
 		m.recoverFromLocked(p, former)
 	}
 }
--- a/internal/partition/backup.go
+++ b/internal/partition/backup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"saltreel/internal/placement"
@@ -126,9 +125,7 @@
 	}
 	m.renewContactLocked(p)
 	for _, r := range part.Records {
-		r.Partition = p.number
-		r.shiftTimes(m.Now() - batch.Now)
-		r.Body, bodies = slices.Clone(bodies[:r.Length]), bodies[r.Length:]
+		bodies, _ = m.receiveRecord(p, r, bodies, m.Now()-batch.Now) // the caller has checked the length
 		if r.supersedes(p.records.byID[r.ID]) {
 			m.storeLocked(p, r, nil)
 		}
--- a/internal/partition/errors.go
+++ b/internal/partition/errors.go
@@ -24,6 +24,8 @@
 	ErrIndeterminate = errors.New("no backup can say whether there is such a message")
 	// ErrUnknownPartition says that this store knows of no such partition.
 	ErrUnknownPartition = errors.New("no such partition here")
+	// ErrOtherDisk says that this store has another disk than the one that is asked.
+	ErrOtherDisk = errors.New("this store has another disk")
 	// ErrOutOfOrder says that the batch before this one has not come.
 	ErrOutOfOrder = errors.New("the batch before this one has not come")
 	// ErrTruncatedBatch says that a batch has fewer bytes of bodies than its
@@ -90,7 +92,7 @@
 		return 404
 	case errors.Is(err, ErrIDConflict), errors.Is(err, ErrSuperseded):
 		return 409
-	case errors.Is(err, ErrDiskRefusesWrites), errors.Is(err, ErrUnknownPartition), errors.As(err, &notPrimary):
+	case errors.Is(err, ErrDiskRefusesWrites), errors.Is(err, ErrUnknownPartition), errors.Is(err, ErrOtherDisk), errors.As(err, &notPrimary):
 		return 421
 	case errors.Is(err, ErrStoreFull), errors.Is(err, ErrOutOfOrder), errors.Is(err, ErrIndeterminate), errors.As(err, &tooFewBackups):
 		return 503
--- a/internal/partition/handover.go
+++ b/internal/partition/handover.go
@@ -86,14 +86,14 @@
 	return len(wanted) == 0 || len(ready) > 0 && !m.anyStoppedAcceptingLocked(wanted)
 }
 
-// isReadyForHandover reports whether all backups that may become primary hold all
-// records and have their lease back. One that is still being filled, and is not
-// known to be in sync, is waited for only with what has changed: the controller
-// does not choose it.
+// isReadyForHandover reports whether all backups that may become primary by a handover
+// hold all records and have their lease back. One that is still being filled, and is not
+// known to be in sync, is waited for only with what has changed, and not at all before it
+// has answered: the controller does not choose it.
 func (p *partition) isReadyForHandover() bool {
 	for _, r := range p.replicas {
 		switch {
-		case !r.mayBecomePrimary():
+		case !r.inSync && !r.connected:
 		case len(r.unreplicated) > 0, !r.leaseReleased:
 			return false
 		case (r.inSync || r.verified) && r.hasBacklog():
--- a/internal/partition/lease.go
+++ b/internal/partition/lease.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// A primary delivers only while it holds a lease of every backup that may become
-// primary: each answer to a batch grants one (Gray and Cheriton, "Leases", 1989).
+// A primary delivers only while it holds a lease of every backup, since any may become
+// primary, also one that has to take what it lacks from others first: each answer to a
+// batch grants one (Gray and Cheriton, "Leases", 1989).
 // A backup that becomes primary waits until the lease that it granted has ended.
 
 // batchesPerIncarnation is how many batches a replicator may number before it
@@ -53,14 +54,14 @@
 }
 
 // mayDeliver reports whether the primary may deliver: no handover has stopped it,
-// the lease that it granted before it became primary has ended, and each backup
-// that may become primary has granted it one of which more than margin is left.
+// the lease that it granted before it became primary has ended, and each backup has
+// granted it one of which more than margin is left.
 func (p *partition) mayDeliver(now time.Time, margin time.Duration) bool {
 	if p.handover.deliveriesStopped || now.Before(p.granted.expires) {
 		return false
 	}
 	for _, r := range p.replicas {
-		if r.mayBecomePrimary() && r.leaseExpires.Sub(now) <= margin {
+		if r.leaseExpires.Sub(now) <= margin {
 			return false
 		}
 	}
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -200,8 +200,11 @@
 	return m.knowsLocked(n) && m.leadsLocked(m.partitions[n])
 }
 
-// leadsLocked reports whether this store is the primary of p.
-func (m *Manager) leadsLocked(p *partition) bool { return p.primary == m.config.Self }
+// leadsLocked reports whether this store is the primary of p, and acts as such: it
+// has what it had to take from other stores.
+func (m *Manager) leadsLocked(p *partition) bool {
+	return p.primary == m.config.Self && len(p.sources) == 0
+}
 
 // leadsInLocked reports whether this store is the primary of p in an epoch.
 func (m *Manager) leadsInLocked(p *partition, epoch int64) bool {
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -40,6 +40,7 @@
 	From      string `json:"from"`
 	Partition int    `json:"n"`
 	Epoch     int64  `json:"e"`
+	Disk      string `json:"disk,omitempty"` // identity of the disk that is asked; empty: any
 }
 
 // DigestResponse lists the identifiers of the records by state.
@@ -55,4 +56,6 @@
 type FetchRequest struct {
 	Partition int      `json:"n"`
 	IDs       []string `json:"ids"`
+	// OutdatedToo asks for what an outdated replica holds as pending as well.
+	OutdatedToo bool `json:"outdated-too,omitempty"`
 }
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -14,6 +14,7 @@
 	epoch    int64
 	primary  string        // name of a store; empty if this store has no part in it
 	isBackup bool          // this store is a backup
+	sources  []string      // stores from which this one takes records before it leads the partition
 	changed  chan struct{} // closed and replaced when those who wait are to look again
 
 	records recordSet
--- /dev/null
+++ b/internal/partition/recovery.go
@@ -0,0 +1,215 @@
+package partition
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"saltreel/internal/placement"
+	"saltreel/internal/timeutil"
+)
+
+// A failure may take all replicas in sync of a partition, while the others together still
+// hold everything that was accepted (placement.Span). The placement then names a primary
+// that lacks some of it, and the sources from which it takes that. Until it has all, the
+// primary does not act as one: it neither accepts nor delivers, and answers no queries.
+//
+// Records are merged by state, as ever: what has ended at one of the stores has ended. For
+// log entries the newest decides which there are before it, see removeForks.
+
+// recoverFromSources takes what the sources of a partition hold, and then begins to act as
+// its primary. It ends early when the assignment is in force no longer.
+func (m *Manager) recoverFromSources(p *partition, assignment placement.Partition, former string) {
+	m.config.Log.Printf("recovery: partition %d: takes records from %v", p.number, assignment.Sources)
+	began := time.Now()
+	for _, source := range assignment.Sources {
+		for source != m.config.Self && !m.takeFromSource(p, assignment.Epoch, source) {
+			timeutil.Sleep(m.background.ctx, m.timing.sourceRetry())
+			if !m.isRecovering(p, assignment.Epoch) {
+				return
+			}
+		}
+	}
+	m.removeForks(p, assignment.Epoch)
+	if !m.awaitDisk() || !m.beginToLead(p, assignment, former) {
+		return
+	}
+	m.config.Log.Printf("recovery: partition %d: is complete after %v", p.number, time.Since(began).Round(time.Millisecond))
+	m.reportRecovered(p, assignment.Epoch)
+}
+
+// isRecovering reports whether the partition still takes records from its sources, under
+// an assignment of this epoch.
+func (m *Manager) isRecovering(p *partition, epoch int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isRecoveringLocked(p, epoch)
+}
+
+func (m *Manager) isRecoveringLocked(p *partition, epoch int64) bool {
+	return p.epoch == epoch && len(p.sources) > 0 && m.background.ctx.Err() == nil
+}
+
+// awaitDisk waits until this store's disk has what is in memory here.
+func (m *Manager) awaitDisk() bool {
+	onDisk := make(chan struct{})
+	m.storage.afterSync(func() { close(onDisk) })
+	select {
+	case <-onDisk:
+		return true
+	case <-m.background.ctx.Done():
+		return false
+	}
+}
+
+// takeFromSource takes over what a source holds and this store lacks. It reports whether
+// it has all; what it has got so far remains.
+func (m *Manager) takeFromSource(p *partition, epoch int64, source string) bool {
+	m.mu.Lock()
+	store := m.placement.Stores[source]
+	m.mu.Unlock()
+	digest, err := m.askSource(p.number, epoch, store)
+	if err != nil {
+		m.config.Log.Printf("recovery: partition %d: %s: %v", p.number, source, err)
+		return false
+	}
+	m.mu.Lock()
+	lacking := p.records.lackingOf(digest.states())
+	m.mu.Unlock()
+	for len(lacking) > 0 {
+		taken, err := m.takeRecords(p, epoch, store.Address, lacking)
+		if err != nil {
+			m.config.Log.Printf("recovery: partition %d: %s: %v", p.number, source, err)
+		}
+		if len(taken) == 0 { // or it has changed: it is asked anew
+			return false
+		}
+		lacking = slices.DeleteFunc(lacking, func(id string) bool { return taken[id] })
+	}
+	return true
+}
+
+// askSource asks a source what it holds.
+func (m *Manager) askSource(n int, epoch int64, store placement.Store) (*DigestResponse, error) {
+	ctx, cancel := context.WithTimeout(m.background.ctx, m.timing.reconcileTimeout())
+	defer cancel()
+	request := DigestRequest{From: m.config.Self, Partition: n, Epoch: epoch, Disk: store.Disk}
+	var digest DigestResponse
+	if err := m.config.Client.Call(ctx, store.Address, "/digest", request, nil, &digest); err != nil {
+		return nil, err
+	}
+	return &digest, nil
+}
+
+// lackingOf lists what is not here, or only in an earlier state: messages and log entries.
+func (s *recordSet) lackingOf(theirs map[string]State) []string {
+	var lacking []string
+	for id, state := range theirs {
+		if r := s.byID[id]; r == nil || r.State < state {
+			lacking = append(lacking, id)
+		}
+	}
+	return lacking
+}
+
+// maxIDsPerFetch bounds the identifiers in one FetchRequest.
+const maxIDsPerFetch = 1000
+
+// takeRecords takes records from a source as they are. It returns the identifiers of those
+// that came.
+func (m *Manager) takeRecords(p *partition, epoch int64, address string, ids []string) (taken map[string]bool, err error) {
+	request := FetchRequest{Partition: p.number, IDs: ids[:min(len(ids), maxIDsPerFetch)], OutdatedToo: true}
+	batch, bodies, err := m.callFetch(m.background.ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isRecoveringLocked(p, epoch) {
+		return nil, &NotPrimaryError{p.number}
+	}
+	taken = map[string]bool{}
+	for _, r := range batch.Records {
+		var complete bool
+		if bodies, complete = m.receiveRecord(p, r, bodies, m.Now()-batch.Now); !complete {
+			return taken, errTruncatedFetch
+		}
+		if old := p.records.byID[r.ID]; old == nil || r.State > old.State {
+			m.storeLocked(p, r, nil)
+		}
+		taken[r.ID] = true
+	}
+	return taken, nil
+}
+
+// removeForks removes the entries that one of the stores held although no later primary had
+// them: nobody confirmed them.
+func (m *Manager) removeForks(p *partition, epoch int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isRecoveringLocked(p, epoch) {
+		return
+	}
+	topics := map[string][]*Record{}
+	for _, r := range p.records.byID {
+		if r.IsEntry() {
+			topics[r.Topic] = append(topics[r.Topic], r)
+		}
+	}
+	for _, entries := range topics {
+		for _, r := range forks(entries) {
+			m.storeLocked(p, &Record{ID: r.ID, Partition: p.number, State: Deleted}, nil)
+		}
+	}
+}
+
+// forks returns the entries of one topic that are not in the log which ends with the last
+// of them: an entry names the one before it, so there is none between the two.
+func forks(entries []*Record) []*Record {
+	slices.SortFunc(entries, func(a, b *Record) int { return b.Position().Compare(a.Position()) })
+	var next *Record
+	var outside []*Record
+	for _, r := range entries {
+		if next != nil && r.Position().After(next.Previous) {
+			outside = append(outside, r)
+			continue
+		}
+		next = r
+	}
+	return outside
+}
+
+// beginToLead lets this store act as the primary of a partition that is complete now. It
+// reports whether the assignment is in force still.
+func (m *Manager) beginToLead(p *partition, assignment placement.Partition, former string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isRecoveringLocked(p, assignment.Epoch) {
+		return false
+	}
+	p.sources = nil
+	p.setReplicas(assignment.Backups, m.placement.Stores)
+	m.becomePrimaryLocked(p, assignment, former)
+	p.announceChange()
+	for _, r := range p.replicas {
+		m.startReplicatorLocked(r.store)
+	}
+	return true
+}
+
+// reportRecovered reports that this store holds everything, until the placement says so.
+func (m *Manager) reportRecovered(p *partition, epoch int64) {
+	report := placement.InSyncReport{Replicas: []placement.Replica{{Partition: p.number, Epoch: epoch, Store: m.config.Self}}}
+	for m.isUnknownAsComplete(p, epoch) {
+		m.reportInSync(report)
+		timeutil.Sleep(m.background.ctx, m.timing.inSyncReportInterval())
+	}
+}
+
+// isUnknownAsComplete reports whether the placement still names sources for a partition
+// that this store leads.
+func (m *Manager) isUnknownAsComplete(p *partition, epoch int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leadsInLocked(p, epoch) && m.background.ctx.Err() == nil && len(m.placement.Partitions[p.number].Sources) > 0
+}
--- /dev/null
+++ b/internal/partition/recovery_test.go
@@ -0,0 +1,102 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"saltreel/internal/placement"
+)
+
+// An entry that one store held and no later primary had is not in the log: its publisher
+// sent the number again, and subscribers have passed the place.
+func TestForksAreNotInTheLog(t *testing.T) {
+	entry := func(epoch, order int64, previous Position) *Record {
+		at := Position{epoch, order}
+		return &Record{ID: entryID(at), Epoch: epoch, Order: order, Topic: "a", Previous: previous}
+	}
+	first := entry(1, 1, Position{})
+	confirmed := entry(1, 2, first.Position())
+	unconfirmed := entry(1, 3, confirmed.Position())
+	next := entry(2, 3, confirmed.Position())
+	last := entry(3, 9, next.Position())
+	for name, c := range map[string]struct{ entries, want []*Record }{
+		"all in one log":                     {[]*Record{first, confirmed, next, last}, nil},
+		"the next primary had not the third": {[]*Record{first, confirmed, unconfirmed, next, last}, []*Record{unconfirmed}},
+		"an entry between them is deleted":   {[]*Record{unconfirmed, last, first}, nil},
+		"nothing was accepted later":         {[]*Record{unconfirmed, confirmed, first}, nil},
+		"no entry precedes the one of epoch": {[]*Record{first, unconfirmed, entry(2, 4, Position{})}, []*Record{unconfirmed, first}},
+	} {
+		if got := forks(slices.Clone(c.entries)); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %d entries are outside of the log, not %d: %+v", name, len(got), len(c.want), got)
+		}
+	}
+}
+
+// While a primary takes what it lacks from its sources it acts in no way as the primary.
+func TestRecoveringPrimaryDoesNotAct(t *testing.T) {
+	m := startBackup(t)
+	assign(m, 2, placement.Partition{Epoch: 6, Primary: "me", Sources: []string{"unreachable"}})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	var notPrimary *NotPrimaryError
+	if err := m.Accept(ctx, 0, &Record{ID: "new"}); !errors.As(err, &notPrimary) {
+		t.Errorf("accept: %v", err)
+	}
+	if _, err := m.Find(ctx, 0, "new"); !errors.As(err, &notPrimary) {
+		t.Errorf("find: %v", err)
+	}
+	if m.MayDeliver(0) {
+		t.Error("it delivers")
+	}
+	if events, _ := m.Events(); len(events) > 0 {
+		t.Errorf("events: %+v", events)
+	}
+	// Without sources in a later epoch it acts.
+	assign(m, 3, placement.Partition{Epoch: 7, Primary: "me"})
+	if err := m.Accept(t.Context(), 0, &Record{ID: "new"}); err != nil {
+		t.Errorf("accept in the next epoch: %v", err)
+	}
+}
+
+// A store that lost its disk is no source: it must not be read as one that lacks everything.
+func TestDigestOfAnotherDiskIsRefused(t *testing.T) {
+	m := startBackup(t)
+	if _, err := m.HandleDigest(t.Context(), &DigestRequest{From: "other", Epoch: 5, Disk: "lost"}, nil); !errors.Is(err, ErrOtherDisk) {
+		t.Errorf("another disk: %v", err)
+	}
+	if _, err := m.HandleDigest(t.Context(), &DigestRequest{From: "other", Epoch: 5, Disk: m.DiskID()}, nil); err != nil {
+		t.Errorf("its disk: %v", err)
+	}
+}
+
+// What has ended at one of the stores has ended, and what an outdated replica holds as
+// pending comes too: nobody else may have it.
+func TestRecoveryMergesByState(t *testing.T) {
+	m := startBackup(t)
+	m.mu.Lock()
+	p := m.partitions[0]
+	m.storeLocked(p, &Record{ID: "ended here", State: Complete, Seal: "s"}, nil)
+	m.storeLocked(p, &Record{ID: "ended there", State: Pending}, nil)
+	p.contact.outdated = true
+	digest := DigestResponse{IDs: map[State][]string{
+		Pending: {"ended here", "only there", entryID(Position{1, 1})}, Complete: {"ended there"},
+	}}
+	lacking := p.records.lackingOf(digest.states())
+	m.mu.Unlock()
+	slices.Sort(lacking)
+	if want := []string{entryID(Position{1, 1}), "ended there", "only there"}; !slices.Equal(lacking, want) {
+		t.Errorf("it takes %q, not %q", lacking, want)
+	}
+	for _, c := range []struct {
+		outdatedToo bool
+		want        int
+	}{{false, 1}, {true, 2}} {
+		batch, _, err := m.HandleFetch(t.Context(), &FetchRequest{IDs: []string{"ended here", "ended there"}, OutdatedToo: c.outdatedToo}, nil)
+		if err != nil || len(batch.Records) != c.want {
+			t.Errorf("outdated too %v: %d records, %v", c.outdatedToo, len(batch.Records), err)
+		}
+	}
+}
--- a/internal/partition/replica.go
+++ b/internal/partition/replica.go
@@ -36,11 +36,6 @@
 	return &replica{store: backup.Store, disk: disk, inSync: backup.InSync, unreplicated: map[string]*Record{}, sent: map[string]*Record{}}
 }
 
-// mayBecomePrimary reports whether the backup may become primary, as far as can
-// be known here: one that answered may be in sync by now, though the placement
-// that says so is still on its way here.
-func (r *replica) mayBecomePrimary() bool { return r.inSync || r.connected }
-
 // hasBacklog reports whether records are to be sent.
 func (r *replica) hasBacklog() bool { return len(r.unreplicated) > 0 || len(r.missing) > 0 }
 
--- a/internal/partition/timing.go
+++ b/internal/partition/timing.go
@@ -77,6 +77,9 @@
 // inSyncReportTimeout bounds one such report.
 func (t timing) inSyncReportTimeout() time.Duration { return t.contactTimeout / 4 }
 
+// sourceRetry is the time between two tries to take records from a source.
+func (t timing) sourceRetry() time.Duration { return t.contactTimeout / 40 }
+
 // handoverPoll is how often a handover looks whether its partitions are ready;
 // clients wait for it, so it is short.
 func (t timing) handoverPoll() time.Duration { return t.contactTimeout / 800 }
--- a/internal/placement/encoding.go
+++ b/internal/placement/encoding.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strconv"
@@ -17,6 +18,11 @@
 // commas, the primary first, and a backup in sync is followed by "+":
 //
 //	7 0,1,2 1,0+,2
+//
+// Spans holds the spans and sources of the partitions that have any, also separated by
+// ";": the number of the partition, the spans as store:from-through, and the sources.
+//
+//	12 0:0-6,2:7-0 0
 type document struct {
 	Version       int64            `json:"version"`
 	Term          int64            `json:"term"`
@@ -24,6 +30,7 @@
 	Stores        map[string]Store `json:"stores"`
 	OtherStores   []string         `json:"others,omitempty"` // in a partition, but not in Stores any more
 	Compact       string           `json:"places"`
+	Spans         string           `json:"spans,omitempty"`
 	// The partitions as earlier versions wrote them, instead of Compact.
 	Partitions []Partition `json:"partitions,omitempty"`
 }
@@ -47,13 +54,16 @@
 		}
 		return number
 	}
-	var compact []byte
+	var compact, spans []byte
 	for i := range p.Partitions {
 		if i > 0 {
 			compact = append(compact, ';')
 		}
 		compact = appendPartition(compact, &p.Partitions[i], numberOf)
 	}
+	for i := range p.Partitions {
+		spans = appendSpans(spans, i, &p.Partitions[i], numberOf)
+	}
 	return json.Marshal(document{
 		Version:       p.Version,
 		Term:          p.Term,
@@ -61,6 +71,7 @@
 		Stores:        p.Stores,
 		OtherStores:   others,
 		Compact:       string(compact),
+		Spans:         string(spans),
 	})
 }
 
@@ -82,6 +93,32 @@
 	return out
 }
 
+// appendSpans appends the spans and sources of partition i, if it has any.
+func appendSpans(out []byte, i int, p *Partition, numberOf func(store string) int) []byte {
+	if len(p.Spans) == 0 && len(p.Sources) == 0 {
+		return out
+	}
+	if len(out) > 0 {
+		out = append(out, ';')
+	}
+	out = strconv.AppendInt(out, int64(i), 10)
+	out = append(out, ' ')
+	for j, span := range p.Spans {
+		if j > 0 {
+			out = append(out, ',')
+		}
+		out = fmt.Appendf(out, "%d:%d-%d", numberOf(span.Store), span.From, span.Through)
+	}
+	out = append(out, ' ')
+	for j, source := range p.Sources {
+		if j > 0 {
+			out = append(out, ',')
+		}
+		out = strconv.AppendInt(out, int64(numberOf(source)), 10)
+	}
+	return out
+}
+
 func appendStore(out []byte, separator byte, number int) []byte {
 	return strconv.AppendInt(append(out, separator), int64(number), 10)
 }
@@ -100,6 +137,9 @@
 		if err != nil {
 			return err
 		}
+		if err := d.allSpans(partitions, in.Spans); err != nil {
+			return err
+		}
 		out.Partitions = partitions
 	}
 	*p = out
@@ -165,6 +205,60 @@
 	return err
 }
 
+// allSpans reads the spans and sources of all partitions that have any.
+func (d *decoder) allSpans(partitions []Partition, text string) error {
+	if text == "" {
+		return nil
+	}
+	for entry := range strings.SplitSeq(text, ";") {
+		fields := strings.Split(entry, " ")
+		i, err := strconv.Atoi(fields[0])
+		if err != nil || i < 0 || i >= len(partitions) || len(fields) != 3 {
+			return fmt.Errorf("decode spans: %q is not of a partition", entry)
+		}
+		if err := d.spans(&partitions[i], fields[1], fields[2]); err != nil {
+			return fmt.Errorf("decode spans of partition %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// spans reads the spans and the sources of one partition.
+func (d *decoder) spans(p *Partition, spans, sources string) error {
+	for text := range splitList(spans) {
+		number, epochs, _ := strings.Cut(text, ":")
+		from, through, _ := strings.Cut(epochs, "-")
+		store, err := d.store(number)
+		span := Span{Store: store}
+		if err == nil {
+			span.From, err = strconv.ParseInt(from, 10, 64)
+		}
+		if err == nil {
+			span.Through, err = strconv.ParseInt(through, 10, 64)
+		}
+		if err != nil {
+			return fmt.Errorf("%q: %w", text, err)
+		}
+		p.Spans = append(p.Spans, span)
+	}
+	for number := range splitList(sources) {
+		store, err := d.store(number)
+		if err != nil {
+			return err
+		}
+		p.Sources = append(p.Sources, store)
+	}
+	return nil
+}
+
+// splitList gives the items of a list that may be empty.
+func splitList(text string) iter.Seq[string] {
+	if text == "" {
+		return func(func(string) bool) {}
+	}
+	return strings.SplitSeq(text, ",")
+}
+
 func (d *decoder) store(number string) (string, error) {
 	n, err := strconv.Atoi(number)
 	if err != nil || n < 0 || n >= len(d.names) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,11 @@
 	PreferredBackups []string `json:"beside,omitempty"` // backups while all stores are available
 	Primary          string   `json:"primary"`
 	Backups          []Backup `json:"backups,omitempty"`
+	// Sources lists the stores that hold what the primary lacks, or itself, after a
+	// failure that took all replicas in sync: it takes that over before it acts as the
+	// primary.
+	Sources []string `json:"sources,omitempty"`
+	Spans   []Span   `json:"spans,omitempty"` // of the replicas, former ones too, that do not hold everything
 }
 
 // Backup is a replica that follows the primary.
@@ -79,17 +84,17 @@
 // Has reports whether a store holds a replica.
 func (p Partition) Has(store string) bool { return p.Primary == store || p.BackupIndex(store) >= 0 }
 
-// InSync reports whether there are at least that many backups and all of them
-// are in sync.
+// InSync reports whether the primary holds all records and there are at least that
+// many backups, all of them in sync.
 func (p Partition) InSync(backups int) bool {
-	return len(p.Backups) >= backups && !slices.ContainsFunc(p.Backups, func(b Backup) bool { return !b.InSync })
+	return len(p.Sources) == 0 && len(p.Backups) >= backups && !slices.ContainsFunc(p.Backups, func(b Backup) bool { return !b.InSync })
 }
 
-// IsCurrent reports whether a store holds all records: as the primary, or as a
-// backup that is in sync.
+// IsCurrent reports whether a store holds all records: as the primary without
+// sources, or as a backup that is in sync.
 func (p Partition) IsCurrent(store string) bool {
 	i := p.BackupIndex(store)
-	return p.Primary == store || i >= 0 && p.Backups[i].InSync
+	return p.Primary == store && len(p.Sources) == 0 || i >= 0 && p.Backups[i].InSync
 }
 
 // withoutBackup returns a new list of the backups except for one store.
@@ -97,11 +102,17 @@
 	return slices.DeleteFunc(slices.Clone(p.Backups), func(b Backup) bool { return b.Store == store })
 }
 
-// reassign changes the primary and the backups in a new epoch.
-func (p *Partition) reassign(primary string, backups []Backup) {
+// reassign changes the primary, the stores that it has to take records from, and the
+// backups in a new epoch. It remembers what the replicas held until then;
+// neededBackups is how many a message needs to be accepted.
+func (p *Partition) reassign(primary string, sources []string, backups []Backup, neededBackups int) {
+	former := *p
 	p.Epoch++
 	p.Primary = primary
+	p.Sources = sources
 	p.Backups = backups
+	p.Spans = former.spansAfter(p, neededBackups)
+	p.pruneSpans(neededBackups)
 }
 
 // Clone returns a deep copy of what a plan changes: the partitions with their
@@ -109,18 +120,26 @@
 func (p Placement) Clone() Placement {
 	p.Partitions = slices.Clone(p.Partitions)
 	for i := range p.Partitions {
-		p.Partitions[i].Backups = slices.Clone(p.Partitions[i].Backups)
+		partition := &p.Partitions[i]
+		partition.Backups = slices.Clone(partition.Backups)
+		partition.Sources = slices.Clone(partition.Sources)
+		partition.Spans = slices.Clone(partition.Spans)
 	}
 	p.Stores = maps.Clone(p.Stores)
 	return p
 }
 
-// Holds reports whether a store holds a replica of any partition.
+// Holds reports whether a store holds a replica of any partition, or what a primary has to
+// take over.
 func Holds(p Placement, store string) bool {
-	for _, partition := range p.Partitions {
-		if partition.Has(store) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.Partitions, func(partition Partition) bool {
+		return partition.Has(store) || slices.Contains(partition.Sources, store)
+	})
+}
+
+// isRemembered reports whether a store may hold what the replicas of a partition lack.
+func (p *Placement) isRemembered(store string) bool {
+	return slices.ContainsFunc(p.Partitions, func(partition Partition) bool {
+		return slices.ContainsFunc(partition.Spans, func(s Span) bool { return s.Store == store })
+	})
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -15,13 +15,15 @@
 // partitions whose primary is to be asked to stop; released holds those that
 // have stopped, with the epoch in which they did. Each step keeps these rules:
 //
-//   - only a backup that is in sync becomes primary;
+//   - only a backup that is in sync becomes primary, or, where none is left, a
+//     store that can take what it lacks from replicas and former ones;
 //   - a replica that is to be removed stays until its replacement is in sync;
 //   - a primary that is available stops before its successor leads.
 //
 // The current placement is not modified. If changed is false, next equals it.
 func Plan(current Placement, stores map[string]StoreStatus, released map[int]int64, redundancy Redundancy) (next Placement, handovers []int, changed bool) {
 	p := &planner{next: current.Clone(), stores: stores, released: released, redundancy: redundancy}
+	p.updateSpans()
 	p.updateStores()
 	p.updatePreferredReplicas()
 	p.lastResort = p.findLastResort()
@@ -33,6 +35,7 @@
 	for i := range p.next.Partitions {
 		p.rebalance(i)
 	}
+	p.updateSpans()
 	p.completeRetirements()
 	if p.changed {
 		p.next.Version++
@@ -71,16 +74,33 @@
 	return p.available(name) && !p.stores[name].Draining && p.next.Stores[name].Retire == ""
 }
 
+// diskLost reports whether a store has come back without the disk that the placement
+// assumes there.
+func (p *planner) diskLost(name string) bool {
+	status, known := p.stores[name]
+	return known && status.Disk != "" && status.Disk != p.next.Stores[name].Disk
+}
+
 // reassign changes the replicas of a partition.
-func (p *planner) reassign(partition *Partition, primary string, backups []Backup) {
-	partition.reassign(primary, backups)
+func (p *planner) reassign(partition *Partition, primary string, sources []string, backups []Backup) {
+	partition.reassign(primary, sources, backups, p.redundancy.Backups)
 	p.changed = true
 }
 
+// updateSpans forgets what lost disks held, and what need not be remembered.
+func (p *planner) updateSpans() {
+	for i := range p.next.Partitions {
+		partition := &p.next.Partitions[i]
+		forgotten := partition.forgetSpans(p.diskLost)
+		pruned := partition.pruneSpans(p.redundancy.Backups)
+		p.changed = p.changed || forgotten || pruned
+	}
+}
+
 // updateStores adds the stores that are new, and the new disk of a store. As
-// long as the placement has replicas on the store's old disk, the store stays
-// unavailable under its old identity, so that an empty disk never counts as a
-// replica that is in sync.
+// long as the placement has replicas on the store's old disk, or a source, the store
+// stays unavailable under its old identity, so that an empty disk never counts as a
+// replica that is in sync, or as a source that was read.
 func (p *planner) updateStores() {
 	for name, status := range p.stores {
 		store, known := p.next.Stores[name]
@@ -144,31 +164,73 @@
 
 // restore replaces a lost primary and lost backups of a partition.
 //
-// Safety: only a backup that is in sync becomes primary, since any other may
-// lack acknowledged messages. If none is left, the partition waits for its
-// primary, and its replicas stay as they are.
+// Safety: only a backup that is in sync becomes primary, since any other may lack
+// acknowledged messages, or a store that takes what it lacks from the others before it
+// acts as the primary. If there is none either, the partition waits, and its replicas
+// stay as they are.
 func (p *planner) restore(i int) {
 	partition := &p.next.Partitions[i]
-	primary := partition.Primary
+	primary, sources := partition.Primary, partition.Sources
 	backups := p.availableBackups(partition)
-	if !p.available(primary) {
+	if !p.available(primary) || !p.allAvailable(sources) {
 		p.restored = false
-		successor := slices.IndexFunc(backups, func(b Backup) bool { return b.InSync })
-		if successor < 0 {
+		switch successor, itsSources := p.successorAfterLoss(partition, backups); {
+		case successor != "":
+			primary, sources = successor, itsSources
+			backups = slices.DeleteFunc(backups, func(b Backup) bool { return b.Store == successor })
+		case !p.available(primary):
 			return
 		}
-		primary = backups[successor].Store
-		backups = slices.Delete(backups, successor, successor+1)
 	}
 	if len(backups) < p.redundancy.Backups {
 		backups = p.addBackups(i, primary, backups)
 	}
-	if primary != partition.Primary || !slices.Equal(backups, partition.Backups) {
-		p.reassign(partition, primary, backups)
+	if primary != partition.Primary || !slices.Equal(sources, partition.Sources) || !slices.Equal(backups, partition.Backups) {
+		p.reassign(partition, primary, sources, backups)
 	}
 	p.restored = p.restored && partition.InSync(p.redundancy.Backups)
 }
 
+func (p *planner) allAvailable(stores []string) bool {
+	return !slices.ContainsFunc(stores, func(name string) bool { return !p.available(name) })
+}
+
+// successorAfterLoss chooses a primary for a partition whose primary is not available,
+// or lacks sources that are: a backup in sync, else one that can take what it lacks
+// from the sources. One that lacks nothing, but was not in sync, is its own source.
+// backups are those that are available. The successor is "" if there is none.
+//
+// Safety: the former primary may run still, out of reach. It delivers only by the leases
+// of all its backups, so one of them succeeds it, which waits until the lease that it
+// granted has ended. Only where the disk of the former primary is lost, and so its
+// process has ended, any store may succeed.
+func (p *planner) successorAfterLoss(partition *Partition, backups []Backup) (successor string, sources []string) {
+	for _, backup := range backups {
+		if backup.InSync {
+			return backup.Store, nil
+		}
+	}
+	cover := partition.cover(p.available, p.redundancy.Backups)
+	if len(cover) == 0 {
+		return "", nil
+	}
+	last := cover[len(cover)-1] // holds what was accepted last
+	switch {
+	case p.available(partition.Primary):
+		successor = partition.Primary
+	case partition.BackupIndex(last) >= 0, p.diskLost(partition.Primary):
+		successor = last
+	case len(backups) > 0:
+		successor = backups[0].Store
+	default:
+		return "", nil
+	}
+	if len(cover) > 1 {
+		cover = slices.DeleteFunc(cover, func(name string) bool { return name == successor })
+	}
+	return successor, cover
+}
+
 // availableBackups returns a new list of the backups on stores that are available.
 func (p *planner) availableBackups(partition *Partition) []Backup {
 	return slices.DeleteFunc(slices.Clone(partition.Backups), func(b Backup) bool { return !p.available(b.Store) })
@@ -247,7 +309,7 @@
 		return
 	}
 	former := Backup{Store: partition.Primary, InSync: true}
-	p.reassign(partition, successor, append(partition.withoutBackup(successor), former))
+	p.reassign(partition, successor, nil, append(partition.withoutBackup(successor), former))
 }
 
 // mustMove reports whether a replica is on a store that shuts down or is
@@ -271,7 +333,7 @@
 	if len(missing) == 0 {
 		return false
 	}
-	p.reassign(partition, partition.Primary, append(slices.Clone(partition.Backups), missing...))
+	p.reassign(partition, partition.Primary, nil, append(slices.Clone(partition.Backups), missing...))
 	return true
 }
 
@@ -286,13 +348,14 @@
 	if surplus == 0 || len(remaining) < p.redundancy.Backups || !slices.Contains(desired, partition.Primary) {
 		return
 	}
-	p.reassign(partition, partition.Primary, remaining)
+	p.reassign(partition, partition.Primary, nil, remaining)
 }
 
-// completeRetirements completes the retirement of stores without replicas.
+// completeRetirements completes the retirement of stores without replicas: also
+// without what the replicas of a partition may lack.
 func (p *planner) completeRetirements() {
 	for name, store := range p.next.Stores {
-		if store.Retire == RetireActive && !Holds(p.next, name) {
+		if store.Retire == RetireActive && !Holds(p.next, name) && !p.next.isRemembered(name) {
 			store.Retire = RetireComplete
 			p.next.Stores[name] = store
 			p.changed = true
--- /dev/null
+++ b/internal/placement/spans_test.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// lossStep is one event of a schedule of losses, after which the next placement is made.
+type lossStep struct {
+	crash, start, wipe string // names of stores
+	replicates         bool   // what can become in sync does
+}
+
+// playLosses plans after each step, on stores a to e in zones of their own, for one
+// partition whose replicas are at first those that lead in the order of the names.
+func playLosses(t *testing.T, redundancy Redundancy, steps []lossStep) Placement {
+	t.Helper()
+	stores := storesInOwnZones("a", "b", "c", "d", "e")
+	p := Initial(stores, redundancy)
+	p.Partitions = p.Partitions[:1]
+	partition := Partition{Epoch: 1, PreferredPrimary: "a", Primary: "a"}
+	for _, name := range []string{"b", "c"}[:redundancy.Backups] {
+		partition.PreferredBackups = append(partition.PreferredBackups, name)
+		partition.Backups = append(partition.Backups, Backup{Store: name, InSync: true})
+	}
+	p.Partitions[0] = partition
+	for _, step := range steps {
+		setStatus(stores, step.crash, func(s *StoreStatus) { s.Alive = false })
+		setStatus(stores, step.start, func(s *StoreStatus) { s.Alive = true })
+		setStatus(stores, step.wipe, func(s *StoreStatus) { s.Disk += "'"; s.Alive = true })
+		delete(stores, "")
+		p, _, _ = Plan(p, stores, nil, redundancy)
+		if step.replicates {
+			p = replicate(p, stores)
+		}
+	}
+	return p
+}
+
+// Guards against forgetting what a store holds that has left the replicas: when the disks of
+// all replicas in sync are lost, the others take over together (docs/incidents/overlapping-losses.md).
+func TestFormerReplicasAreSources(t *testing.T) {
+	for name, c := range map[string]struct {
+		redundancy Redundancy
+		steps      []lossStep
+		primary    string
+		sources    []string
+	}{
+		"back before the other disk is lost": {
+			oneBackup, []lossStep{{crash: "a"}, {start: "a"}, {wipe: "b"}}, "c", []string{"a"},
+		},
+		"back after the other disk is lost": {
+			oneBackup, []lossStep{{crash: "a"}, {wipe: "b"}, {start: "a"}}, "c", []string{"a"},
+		},
+		"a source is lost before it is read: its new disk is none": {
+			oneBackup, []lossStep{{crash: "a"}, {start: "a"}, {wipe: "b"}, {wipe: "a"}, {}, {}}, "c", []string{"a"},
+		},
+		"not back: it waits": {
+			oneBackup, []lossStep{{crash: "a"}, {wipe: "b"}}, "b", nil,
+		},
+		"three stores hold a part each": {
+			oneBackup, []lossStep{{crash: "a"}, {crash: "c"}, {wipe: "b"}, {start: "a"}, {start: "c"}}, "d", []string{"a", "c"},
+		},
+		"its disk is lost as well: it waits": {
+			oneBackup, []lossStep{{crash: "a"}, {wipe: "a"}, {wipe: "b"}}, "b", nil,
+		},
+		"all are in sync again: it is forgotten": {
+			oneBackup, []lossStep{{crash: "a"}, {replicates: true}, {start: "a"}, {wipe: "b"}}, "c", nil,
+		},
+		"two disks of three replicas": {
+			twoBackups, []lossStep{{crash: "a"}, {crash: "b"}, {wipe: "b"}, {wipe: "c"}, {start: "a"}}, "d", []string{"a"},
+		},
+		"the former primary may run: a backup succeeds, which granted it its lease": {
+			oneBackup, []lossStep{{crash: "a"}, {start: "a"}, {crash: "b"}}, "c", []string{"a"},
+		},
+	} {
+		p := playLosses(t, c.redundancy, c.steps).Partitions[0]
+		if p.Primary != c.primary || !slices.Equal(p.Sources, c.sources) {
+			t.Errorf("%s: %s leads with the sources %v, not %s with %v: %+v", name, p.Primary, p.Sources, c.primary, c.sources, p)
+		}
+	}
+}
+
+// A store that is retired is not given up while it holds what the replicas may lack.
+func TestRememberedStoreIsNotRetired(t *testing.T) {
+	stores := storesInOwnZones("a", "b", "c")
+	p := Initial(stores, oneBackup)
+	setStatus(stores, "a", func(s *StoreStatus) { s.Alive = false })
+	p, _, _ = Plan(p, stores, nil, oneBackup)
+	retired := p.Stores["a"]
+	retired.Retire = RetireActive
+	p.Stores["a"] = retired
+	if p, _, _ = Plan(p, stores, nil, oneBackup); p.Stores["a"].Retire != RetireActive {
+		t.Error("it is retired while it alone has copies")
+	}
+	if p = converge(t, replicate(p, stores), stores, oneBackup, nil); p.Stores["a"].Retire != RetireComplete {
+		t.Errorf("it is not retired with all partitions in sync: %+v", p)
+	}
+}
+
+func TestMergeSpans(t *testing.T) {
+	got := mergeSpans([]Span{{"b", 3, 0}, {"a", 6, 7}, {"a", 0, 2}, {"a", 3, 4}, {"b", 1, 9}, {"a", 6, 6}})
+	want := []Span{{"a", 0, 4}, {"a", 6, 7}, {"b", 1, 0}}
+	if !slices.Equal(got, want) {
+		t.Errorf("%v, not %v", got, want)
+	}
+}
+
+func TestSpansAreEncoded(t *testing.T) {
+	p := playLosses(t, oneBackup, []lossStep{{crash: "a"}, {start: "a"}, {wipe: "b"}})
+	p.Partitions = append(p.Partitions, Partition{Epoch: 2, PreferredPrimary: "a", Primary: "removed", Spans: []Span{{"also removed", 1, 2}}})
+	raw, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Placement
+	if err := json.Unmarshal(raw, &got); err != nil || !reflect.DeepEqual(got, p) {
+		t.Errorf("%s: %v\n%+v\n%+v", raw, err, got.Partitions, p.Partitions)
+	}
+	for _, spans := range []string{"x 0:1-2 ", "9 0:1-2 ", "0 0:1-2", "0 9:1-2 ", "0 0:1 ", "0 0:-2 ", "0  9"} {
+		raw, err := json.Marshal(document{Stores: p.Stores, Compact: "1 0 0", Spans: spans})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if json.Unmarshal(raw, &got) == nil {
+			t.Errorf("%q is taken", spans)
+		}
+	}
+}
