--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -92,6 +92,7 @@
 		"/topics/publish": rpc.Handler(b.handlePublish, statusCode),
 		"/topics/follow":  rpc.RawHandler(b.handleFollow, statusCode),
 		"/topics/poll":    rpc.RawHandler(b.handlePoll, statusCode),
+		"/topics/read":    rpc.RawHandler(b.handleRead, statusCode),
 		"/topics/count":   rpc.Handler(b.handleCount, statusCode),
 	}
 }
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -241,3 +241,49 @@
 		t.Errorf("bodies cut short: %v", err)
 	}
 }
+
+// A topic with more messages than the gateway wants at once gives the newest of them with
+// the join, and the others page by page, without a gap.
+func TestLargeBacklogIsReadInPages(t *testing.T) {
+	b, _ := newBroker(t)
+	var entries []*partition.Record
+	for order := int64(1); order <= 40; order++ {
+		r := record(order, 1<<40)
+		r.Body = make([]byte, 1000)
+		entries = append(entries, r)
+	}
+	lead(b, entries...)
+	const pageSize = 5 * (1000 + entryOverhead)
+	out := follow(t, b, topic.FollowRequest{Session: "s", Begin: true, MaxBacklog: pageSize, Follow: []topic.Followed{{Topic: "t", Recent: true}}})
+	state := out.Topics[0]
+	if len(state.Entries) != 5 || state.Skipped != entries[34].Position() || state.End != entries[39].Position() {
+		t.Errorf("%d messages with the join, skipped up to %v, end %v", len(state.Entries), state.Skipped, state.End)
+	}
+	out = follow(t, b, topic.FollowRequest{Session: "s", Follow: []topic.Followed{{Topic: "t", Recent: true}}})
+	if state := out.Topics[0]; len(state.Entries) != 40 || state.Skipped != (partition.Position{}) {
+		t.Errorf("without a bound %d messages, skipped up to %v", len(state.Entries), state.Skipped)
+	}
+	var orders []int64
+	for after := (partition.Position{}); after != entries[39].Position(); {
+		page, raw, err := b.handleRead(t.Context(), &topic.ReadRequest{Topic: "t", After: after, MaxBytes: pageSize}, nil)
+		if err != nil || len(page.Entries) != 5 || len(raw) != 5000 {
+			t.Fatalf("after %v: %d messages, %v", after, len(page.Entries), err)
+		}
+		for _, e := range page.Entries {
+			orders = append(orders, e.Position.Order)
+			after = e.Position
+		}
+	}
+	if len(orders) != 40 || !slices.IsSorted(orders) {
+		t.Errorf("read %v", orders)
+	}
+	if page, _, err := b.handleRead(t.Context(), &topic.ReadRequest{Topic: "t", MaxBytes: 1}, nil); err != nil || len(page.Entries) != 1 {
+		t.Errorf("a message is larger than the page: %d, %v", len(page.Entries), err)
+	}
+	if page, _, err := b.handleRead(t.Context(), &topic.ReadRequest{Topic: "unknown"}, nil); err != nil || len(page.Entries) != 0 || len(b.topics.byName) != 1 {
+		t.Errorf("an unknown topic: %+v, %v", page, err)
+	}
+	if _, _, err := b.handleRead(t.Context(), &topic.ReadRequest{Topic: "t", Partition: 9}, nil); !errors.Is(err, errNotReady) {
+		t.Errorf("not led here: %v", err)
+	}
+}
--- a/internal/broker/calls.go
+++ b/internal/broker/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"saltreel/internal/partition"
@@ -78,7 +79,7 @@
 	for _, f := range in.Follow {
 		state := topic.TopicState{Later: true}
 		if size < bound {
-			state = b.followLocked(s, f)
+			state = b.followLocked(s, f, in.MaxBacklog)
 		}
 		for _, e := range state.Entries {
 			size += entryOverhead + e.Length
@@ -94,7 +95,7 @@
 
 // followLocked makes a session follow a topic: it gets the messages up to End now
 // and later ones by its polls.
-func (b *Broker) followLocked(s *session, f topic.Followed) topic.TopicState {
+func (b *Broker) followLocked(s *session, f topic.Followed, maxBacklog int) topic.TopicState {
 	if !b.topics.isReady(f.Partition) {
 		return topic.TopicState{NotReady: true}
 	}
@@ -104,13 +105,61 @@
 	b.setCountLocked(s, f.Topic, f.Subscribers)
 	state := topic.TopicState{End: t.end(), Floor: t.floor}
 	if f.Recent {
-		for _, r := range partition.EntriesAfter(t.entries, f.After) {
-			state.Entries = append(state.Entries, topic.EntryOf(r))
-		}
+		var newest []*partition.Record
+		state.Skipped, newest = newestWithin(partition.EntriesAfter(t.entries, f.After), maxBacklog)
+		state.Entries = entriesOf(newest)
 	}
 	return state
 }
 
+// newestWithin returns the newest of records that have no more bytes than a bound, but for
+// a single one, and the position of the last that is left out. A bound of 0 is none.
+func newestWithin(records []*partition.Record, maxBytes int) (skipped partition.Position, newest []*partition.Record) {
+	if maxBytes <= 0 {
+		return partition.Position{}, records
+	}
+	size := 0
+	for i, r := range slices.Backward(records) {
+		size += entryBytes(r)
+		if size > maxBytes && i < len(records)-1 {
+			return r.Position(), records[i+1:]
+		}
+	}
+	return partition.Position{}, records
+}
+
+func entriesOf(records []*partition.Record) []topic.Entry {
+	var entries []topic.Entry
+	for _, r := range records {
+		entries = append(entries, topic.EntryOf(r))
+	}
+	return entries
+}
+
+// handleRead answers with messages of a topic, for those who are far behind.
+func (b *Broker) handleRead(_ context.Context, in *topic.ReadRequest, _ []byte) (*topic.ReadResponse, []byte, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.topics.isReady(in.Partition) {
+		return nil, nil, errNotReady
+	}
+	t := b.topics.byName[in.Topic]
+	if t == nil {
+		return &topic.ReadResponse{}, []byte{}, nil
+	}
+	out := &topic.ReadResponse{End: t.end(), Floor: t.floor}
+	bodies, size, bound := []byte{}, 0, answerBound(in.MaxBytes)
+	for _, r := range partition.EntriesAfter(t.entries, in.After) {
+		size += entryBytes(r)
+		if size > bound && len(out.Entries) > 0 {
+			break
+		}
+		out.Entries = append(out.Entries, topic.EntryOf(r))
+		bodies = append(bodies, r.Body...)
+	}
+	return out, bodies, nil
+}
+
 func (b *Broker) setCountLocked(s *session, name string, subscribers int) {
 	t := b.topics.byName[name]
 	if t == nil {
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -35,10 +35,12 @@
 }
 
 func newClientConn(g *Gateway, conn net.Conn) *clientConn {
-	return &clientConn{
-		gateway: g, conn: conn, reader: bufio.NewReader(conn), outbox: newOutbox(),
+	c := &clientConn{
+		gateway: g, conn: conn, reader: bufio.NewReader(conn),
 		released: make(chan struct{}), subscriptions: map[string]*subscription{},
 	}
+	c.outbox = newOutbox(func() { g.hub.resumeBacklogs(c.currentSubscriptions()) })
+	return c
 }
 
 // serve serves the client until its connection ends, and closes it.
@@ -251,13 +253,24 @@
 	})
 }
 
-// send implements subscriber. A client that takes too little is closed.
+// send implements subscriber. A client that asks on and takes no answers is closed.
 func (c *clientConn) send(frame []byte) {
 	if !c.outbox.add(frame) {
 		_ = c.conn.Close()
 	}
 }
 
+// deliver implements subscriber.
+func (c *clientConn) deliver(m *message, backlog bool) bool {
+	if backlog {
+		return c.outbox.deliver(m.frame, maxBacklogBytes)
+	}
+	return c.outbox.deliver(m.frame, maxQueuedBytes)
+}
+
+// hasRoom implements subscriber.
+func (c *clientConn) hasRoom() bool { return c.outbox.hasRoom() }
+
 // reject implements subscriber: it answers a SUBSCRIBE, or ends a subscription
 // unasked.
 func (c *clientConn) reject(s *subscription, reason linewire.Reason) {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -10,8 +10,13 @@
 
 // subscriber gets what a subscription is answered and sent.
 type subscriber interface {
-	// send queues the bytes of a message. It does not block.
+	// send queues an answer. It does not block.
 	send(frame []byte)
+	// deliver queues a message, unless too much waits: less may where it is of the
+	// backlog. Where it reports false, hub.resumeBacklogs is called when there is room.
+	deliver(m *message, backlog bool) bool
+	// hasRoom reports whether a message of the backlog would be queued, as deliver does.
+	hasRoom() bool
 	// reject answers a subscription, or ends it.
 	reject(s *subscription, reason linewire.Reason)
 	// isPresent reports whether it is there: it may be gone without a word.
@@ -25,12 +30,14 @@
 	resumes  bool               // the client gave a cursor
 	cursor   partition.Position // all messages up to here are sent, or not wanted
 	answered bool               // the client knows that it is subscribed
+	behind   bool               // it lacks messages that are not recent, or has no room: see backlog
 }
 
 // feed is a topic that the gateway follows: a state machine without I/O. It has to
 // join (joinRequest, joined) and is live then: each message comes once and in order
-// (deliver). Where one is missing, it has to join again. It has no lock: the hub's
-// mu guards it.
+// (deliver). Where one is missing, it has to join again. Subscriptions that lack more
+// than the recent messages are behind, and get the others from the backlog. It has no
+// lock: the hub's mu guards it.
 type feed struct {
 	topic     string
 	partition int
@@ -43,6 +50,7 @@
 	position  partition.Position // of the last message
 	known     bool               // position is
 	recent    recentMessages
+	backlog   backlog
 
 	subscriptions map[*subscription]bool
 	unusedSince   time.Time // when the last of them ended
@@ -58,18 +66,20 @@
 	feedLive
 )
 
-func newFeed(name string, number int) *feed {
-	return &feed{topic: name, partition: number, subscriptions: map[*subscription]bool{}}
+// newFeed makes a feed; startReading begins to read its backlog.
+func newFeed(name string, number int, startReading func(f *feed)) *feed {
+	return &feed{topic: name, partition: number, backlog: newBacklog(startReading), subscriptions: map[*subscription]bool{}}
 }
 
 // add adds a subscription, and answers it if the feed is live and has what it
 // lacks. It reports whether the feed has to join now.
 func (f *feed) add(s *subscription) (join bool) {
 	f.subscriptions[s] = true
-	if f.state == feedLive && s.resumes && f.recent.isTrimmedAfter(s.cursor) {
-		f.rejoin()
-	}
-	if f.state == feedLive {
+	switch {
+	case f.state != feedLive:
+	case s.resumes && f.recent.isTrimmedAfter(s.cursor):
+		f.fallBehind(s)
+	default:
 		f.answer(s)
 	}
 	return f.state == feedUnjoined
@@ -80,31 +90,48 @@
 	if !s.resumes {
 		s.cursor = f.position
 	}
-	s.answered = true
-	s.to.send(linewire.AppendSubscribeOK(nil, f.topic, s.cursor.String()))
+	f.acknowledge(s)
 	f.sendRecent(s)
 }
 
-// sendRecent sends the recent messages that a subscription lacks.
+// acknowledge tells the client that it is subscribed, unless it knows.
+func (f *feed) acknowledge(s *subscription) {
+	if !s.answered {
+		s.answered = true
+		s.to.send(linewire.AppendSubscribeOK(nil, f.topic, s.cursor.String()))
+	}
+}
+
+// sendRecent sends the recent messages that a subscription lacks. It is behind if there is
+// no room for all of them.
 func (f *feed) sendRecent(s *subscription) {
 	for _, m := range f.recent.after(s.cursor) {
-		s.send(m)
+		if !s.deliver(m) {
+			f.fallBehind(s)
+			return
+		}
 	}
 }
 
-func (s *subscription) send(m *message) {
-	if m.position.After(s.cursor) {
-		s.cursor = m.position
-		s.to.send(m.frame)
+// deliver sends a message, unless it was sent. It reports false if there is no room.
+func (s *subscription) deliver(m *message) bool {
+	if !m.position.After(s.cursor) {
+		return true
 	}
+	if !s.to.deliver(m, s.behind) {
+		return false
+	}
+	s.cursor = m.position
+	return true
 }
 
 // joinRequest is what to ask of the broker: the messages that some subscription
-// lacks, and all later ones. subscribers is how many there are.
+// lacks, and all later ones. Those of the subscriptions that are behind are read
+// separately. subscribers is how many there are.
 func (f *feed) joinRequest(subscribers int) topic.Followed {
 	r := topic.Followed{Topic: f.topic, Partition: f.partition, Recent: f.known, After: f.position, Subscribers: subscribers}
 	for s := range f.subscriptions {
-		if s.answered || !s.resumes || f.known && !f.recent.isTrimmedAfter(s.cursor) {
+		if s.answered || s.behind || !s.resumes || f.known && !f.recent.isTrimmedAfter(s.cursor) {
 			continue
 		}
 		if !r.Recent || r.After.After(s.cursor) {
@@ -127,7 +154,7 @@
 	f.known = true
 	again = f.earlyLost
 	for s := range f.subscriptions {
-		again = f.resume(s, state.Floor) || again
+		f.resume(s, state.Floor)
 	}
 	f.recent.trim()
 	early := f.early
@@ -149,8 +176,10 @@
 	if !f.request.Recent {
 		from = state.End
 	}
-	if state.Floor.After(from) {
-		from = state.Floor
+	for _, missing := range []partition.Position{state.Floor, state.Skipped} {
+		if missing.After(from) {
+			from = missing
+		}
 	}
 	if !f.known || from != f.position {
 		f.recent = recentMessages{trimmed: from}
@@ -161,22 +190,22 @@
 }
 
 // resume sends a subscription what it lacks after a join, or ends it where that was
-// deleted. It reports whether the feed has to join once more for it.
-func (f *feed) resume(s *subscription, floor partition.Position) (again bool) {
+// deleted. It is behind where the answer to the join did not hold all of it.
+func (f *feed) resume(s *subscription, floor partition.Position) {
 	switch {
+	case s.behind:
 	case !s.answered && !s.resumes:
 		f.answer(s)
 	case floor.After(s.cursor):
 		delete(f.subscriptions, s)
 		s.to.reject(s, linewire.Expired)
+	case f.recent.isTrimmedAfter(s.cursor):
+		f.fallBehind(s)
 	case s.answered:
 		f.sendRecent(s)
-	case f.recent.isTrimmedAfter(s.cursor):
-		return true
 	default:
 		f.answer(s)
 	}
-	return false
 }
 
 // maxEarly bounds the messages that are kept while the feed joins. If more come,
@@ -203,7 +232,9 @@
 	f.recent.trim()
 	f.position = e.Position
 	for s := range f.subscriptions {
-		s.send(m)
+		if !s.behind && !s.deliver(m) {
+			f.fallBehind(s)
+		}
 	}
 	return false
 }
--- a/internal/gateway/feed_bench_test.go
+++ b/internal/gateway/feed_bench_test.go
@@ -13,10 +13,10 @@
 func BenchmarkDeliver(b *testing.B) {
 	for _, subscribers := range []int{1, 40} {
 		b.Run(fmt.Sprintf("%d subscribers", subscribers), func(b *testing.B) {
-			f := newFeed("news.harbour", 0)
+			f := newFeed("news.harbour", 0, func(*feed) { b.Fatal("a subscription is behind") })
 			var outboxes []*outbox
 			for range subscribers {
-				c := &clientConn{outbox: newOutbox()}
+				c := &clientConn{outbox: newOutbox(func() {})}
 				outboxes = append(outboxes, c.outbox)
 				f.add(&subscription{to: c, topic: f.topic})
 			}
@@ -32,8 +32,8 @@
 					b.Fatal("the feed joins")
 				}
 				for _, o := range outboxes {
-					waiting, _ := o.take(nil)
-					o.take(waiting) // its buffer is used again
+					frames, _, _ := o.take(nil)
+					o.take(frames) // its memory is used again
 				}
 			}
 			b.ReportMetric(float64(b.N*subscribers)/b.Elapsed().Seconds(), "deliveries/s")
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -17,8 +17,25 @@
 type recorder struct {
 	lines    []string
 	rejected linewire.Reason
+	full     bool // no message is taken
+	room     int  // how many messages are taken until it is full; 0: any number
 }
 
+// ignoreBacklog is for feeds whose backlog the test reads itself, or that have none.
+func ignoreBacklog(*feed) {}
+
+func (r *recorder) deliver(m *message, _ bool) bool {
+	if r.full {
+		return false
+	}
+	r.send(m.frame)
+	r.room--
+	r.full = r.room == 0
+	return true
+}
+
+func (r *recorder) hasRoom() bool { return !r.full }
+
 func (r *recorder) send(frame []byte) {
 	line, _, _ := strings.Cut(string(frame), "\r\n")
 	r.lines = append(r.lines, line)
@@ -51,6 +68,8 @@
 	last   int64
 	floor  int64
 	polled []topic.Entry // on their way to the gateway
+
+	maxBacklog int // messages in the answer to a join; 0: any number
 }
 
 func (b *modelBroker) entry(order int64) topic.Entry {
@@ -79,10 +98,30 @@
 		for order := max(r.After.Order, b.floor) + 1; order <= b.last; order++ {
 			state.Entries = append(state.Entries, b.entry(order))
 		}
+		if over := len(state.Entries) - b.maxBacklog; b.maxBacklog > 0 && over > 0 {
+			state.Skipped = state.Entries[over-1].Position
+			state.Entries = state.Entries[over:]
+		}
 	}
 	return state
 }
 
+// read is the answer to a read of so many messages.
+func (b *modelBroker) read(after partition.Position, messages int64) *topic.ReadResponse {
+	r := &topic.ReadResponse{}
+	if b.last > 0 {
+		r.End = at(b.last)
+	}
+	if b.floor > 0 {
+		r.Floor = at(b.floor)
+	}
+	first := max(after.Order, b.floor) + 1
+	for order := first; order < first+messages && order <= b.last; order++ {
+		r.Entries = append(r.Entries, b.entry(order))
+	}
+	return r
+}
+
 func subscribeAt(to *recorder, resumes bool, cursor int64) *subscription {
 	s := &subscription{to: to, topic: "t", resumes: resumes}
 	if resumes && cursor > 0 {
@@ -93,7 +132,7 @@
 
 func TestFeedJoinsAndDelivers(t *testing.T) {
 	b := &modelBroker{}
-	f := newFeed("t", 0)
+	f := newFeed("t", 0, ignoreBacklog)
 	fresh, resumed := &recorder{}, &recorder{}
 	for range 5 {
 		b.publish()
@@ -126,7 +165,7 @@
 
 func TestFeedJoinsAgainWhereAMessageIsMissing(t *testing.T) {
 	b := &modelBroker{}
-	f := newFeed("t", 0)
+	f := newFeed("t", 0, ignoreBacklog)
 	to := &recorder{}
 	f.add(subscribeAt(to, false, 0))
 	f.joined(b.answer(f.joinRequest(1)))
@@ -147,7 +186,7 @@
 // More messages may come while the feed joins than it keeps: it asks for the rest.
 func TestFeedJoinsAgainWhereTooManyMessagesCameEarly(t *testing.T) {
 	b := &modelBroker{}
-	f := newFeed("t", 0)
+	f := newFeed("t", 0, ignoreBacklog)
 	to := &recorder{}
 	f.add(subscribeAt(to, true, 0))
 	stale := b.answer(f.joinRequest(1))
@@ -168,7 +207,7 @@
 func TestSubscriptionIsExpiredOnlyWhereAMessageWasDeleted(t *testing.T) {
 	for cursor, reason := range map[int64]linewire.Reason{2: linewire.Expired, 3: "", 9: ""} {
 		b := &modelBroker{floor: 3, last: 5}
-		f := newFeed("t", 0)
+		f := newFeed("t", 0, ignoreBacklog)
 		to := &recorder{}
 		f.add(subscribeAt(to, true, cursor))
 		f.joined(b.answer(f.joinRequest(1)))
@@ -225,21 +264,38 @@
 	m.mustJoin = m.feed.add(subscribeAt(to, resumes, cursor)) || m.mustJoin
 }
 
+// read reads a page for the subscriptions that are behind, if there is any with room. It
+// reports whether there was.
+func (m *feedModel) read(messages int64) bool {
+	next, _ := m.feed.serveBacklog()
+	if next != nil {
+		m.feed.addPage(next, next.cursor, m.broker.read(next.cursor, messages))
+		m.feed.serveBacklog()
+	}
+	return next != nil
+}
+
 // finish brings all that is under way to its end.
 func (m *feedModel) finish() {
+	for _, to := range m.recorders {
+		to.full, to.room = false, 0
+	}
 	for m.request != nil || m.mustJoin || len(m.broker.polled) > 0 {
 		m.ask()
 		m.answer()
 		m.poll(len(m.broker.polled))
 	}
+	for m.read(100) {
+	}
 }
 
-// Whatever order messages, answers and losses of the session come in, and whatever
-// is still in memory, each subscription gets each message after its cursor once and
-// in order.
+// Whatever order messages, answers, pages and losses of the session come in, whatever is
+// still in memory, and whoever takes how much, each subscription gets each message after
+// its cursor once and in order.
 func TestFeedDeliversOnceAndInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &feedModel{broker: &modelBroker{}, feed: newFeed("t", 0)}
+		maxBacklog := rapid.IntRange(0, maxRecentMessages).Draw(t, "backlog")
+		m := &feedModel{broker: &modelBroker{maxBacklog: maxBacklog}, feed: newFeed("t", 0, ignoreBacklog)}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": func(t *rapid.T) {
 				for range rapid.IntRange(1, maxRecentMessages).Draw(t, "messages") {
@@ -252,6 +308,13 @@
 			"ask":              func(*rapid.T) { m.ask() },
 			"answer":           func(*rapid.T) { m.answer() },
 			"lose the session": func(*rapid.T) { m.loseSession() },
+			"read":             func(t *rapid.T) { m.read(rapid.Int64Range(1, 200).Draw(t, "page")) },
+			"take": func(t *rapid.T) {
+				if len(m.recorders) > 0 {
+					to := rapid.SampledFrom(m.recorders).Draw(t, "subscriber")
+					to.full, to.room = rapid.Bool().Draw(t, "full"), rapid.IntRange(0, 100).Draw(t, "room")
+				}
+			},
 			"subscribe": func(t *rapid.T) {
 				m.subscribe(rapid.Bool().Draw(t, "resumes"), rapid.Int64Range(0, m.broker.last).Draw(t, "cursor"))
 			},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	g.caller = &brokerCaller{node: g.node, timing: g.timing, gateway: set.NodeName}
 	g.hub = newHub(g.timing, g.node.Placement, logger, func(l *link) {
 		g.caller.tasks.Go(func() { l.run(g.serving, g.caller) })
+	}, func(f *feed) {
+		g.caller.tasks.Go(func() { g.hub.readBacklog(g.serving, g.caller, f) })
 	})
 	g.hub.link = set.Limits.LinkSpeedMbps * 1e6 / 8
 	g.publishers = newPublishers(g.serving, g.hub, g.caller)
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -17,6 +17,7 @@
 	timing    timing
 	placement func() *placement.Placement // the newest; nil before the first
 	startLink func(l *link)               // begins to work off a new link
+	startRead func(f *feed)               // begins to read the backlog of a feed
 	log       *log.Logger
 	link      float64 // bytes a second of this machine's link; 0: not known
 
@@ -25,9 +26,9 @@
 	links map[string]*link // by the name of the broker's store
 }
 
-func newHub(timing timing, placement func() *placement.Placement, logger *log.Logger, startLink func(l *link)) *hub {
+func newHub(timing timing, placement func() *placement.Placement, logger *log.Logger, startLink func(l *link), startRead func(f *feed)) *hub {
 	return &hub{
-		timing: timing, placement: placement, startLink: startLink, log: logger,
+		timing: timing, placement: placement, startLink: startLink, startRead: startRead, log: logger,
 		feeds: map[string]*feed{}, links: map[string]*link{},
 	}
 }
@@ -38,7 +39,7 @@
 	defer h.mu.Unlock()
 	f := h.feeds[s.topic]
 	if f == nil {
-		f = newFeed(s.topic, h.partitionOf(s.topic))
+		f = newFeed(s.topic, h.partitionOf(s.topic), h.startRead)
 		h.feeds[s.topic] = f
 		h.assignLocked(f)
 	}
@@ -57,6 +58,7 @@
 func (h *hub) removeLocked(s *subscription) {
 	if f := h.feeds[s.topic]; f != nil {
 		delete(f.subscriptions, s)
+		f.backlog.wakeUp() // its reading may end
 		if len(f.subscriptions) == 0 {
 			f.unusedSince = time.Now()
 		}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -29,6 +29,7 @@
 
 	session session
 	wake    chan struct{} // holds a value when there may be something to do
+	reads   chan struct{} // holds a value for each page that is being read
 }
 
 // session is one session of a link.
@@ -44,6 +45,7 @@
 		feeds: map[string]*feed{}, pending: map[string]*feed{}, drops: map[string]bool{}, counts: map[string]int{},
 		session: session{id: rand.Text()},
 		wake:    make(chan struct{}, 1),
+		reads:   make(chan struct{}, maxReads),
 	}
 }
 
@@ -124,7 +126,7 @@
 	if delay := time.Until(l.notBefore); delay > 0 {
 		return nil, "", delay
 	}
-	r = &topic.FollowRequest{Session: l.session.id, Begin: !l.session.begun, Counts: l.counts, MaxBytes: l.hub.answerBytes()}
+	r = &topic.FollowRequest{Session: l.session.id, Begin: !l.session.begun, Counts: l.counts, MaxBytes: l.hub.answerBytes(), MaxBacklog: maxRecentBytes}
 	for name := range l.drops {
 		r.Drop = append(r.Drop, name)
 	}
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -1,40 +1,88 @@
 package gateway
 
 import (
+	"errors"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"time"
 )
 
-// maxOutboxBytes bounds what waits for one client. One that takes less than it is
-// sent is closed, never waited for: it comes back with its cursors.
-const maxOutboxBytes = 192 << 10
+// Bounds of what waits for one client, in bytes.
+const (
+	// maxBacklogBytes bounds the messages that a client has missed, or that it takes more
+	// slowly than they come: the next ones are read as it takes these.
+	maxBacklogBytes = 64 << 10
+	// maxQueuedBytes bounds the messages that wait as they come. Over it a subscription is
+	// behind, and gets what follows from the backlog.
+	maxQueuedBytes = 192 << 10
+	// maxOutboxBytes bounds all that waits, answers included. A client that asks on and
+	// takes no answers is closed.
+	maxOutboxBytes = 256 << 10
+)
 
-// outbox is what waits to be written to one client.
+// outbox is what waits to be written to one client. The frames of messages are shared by
+// all who get them.
 type outbox struct {
 	mu      sync.Mutex
-	waiting []byte
+	frames  [][]byte
+	bytes   int  // of frames
+	refused bool // a message found no room since onRoom was last called
 	closing bool // nothing more is taken; run ends when all is written
 	wake    chan struct{}
+	onRoom  func() // called when there is room again, without mu
 }
 
-func newOutbox() *outbox { return &outbox{wake: make(chan struct{}, 1)} }
+func newOutbox(onRoom func()) *outbox {
+	return &outbox{wake: make(chan struct{}, 1), onRoom: onRoom}
+}
 
-// add queues bytes. It reports false if there are too many.
+// add queues an answer. It reports false if too much waits.
 func (o *outbox) add(frame []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closing {
 		return true
 	}
-	if len(o.waiting)+len(frame) > maxOutboxBytes {
+	if o.bytes+len(frame) > maxOutboxBytes {
 		return false
 	}
-	o.waiting = append(o.waiting, frame...)
-	o.wakeUp()
+	o.queueLocked(frame)
+	return true
+}
+
+// deliver queues a message if less than bound waits. Else it reports false, and onRoom is
+// called when there is room.
+func (o *outbox) deliver(frame []byte, bound int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closing || o.bytes >= bound {
+		o.refused = true
+		return false
+	}
+	o.queueLocked(frame)
 	return true
 }
 
+// hasRoom reports whether a message of the backlog may be queued; else onRoom is called
+// when it may.
+func (o *outbox) hasRoom() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closing || o.bytes >= maxBacklogBytes {
+		o.refused = true
+		return false
+	}
+	return true
+}
+
+func (o *outbox) queueLocked(frame []byte) {
+	o.frames = append(o.frames, frame)
+	o.bytes += len(frame)
+	o.wakeUp()
+}
+
 // close lets run end when all is written.
 func (o *outbox) close() {
 	o.mu.Lock()
@@ -50,40 +98,95 @@
 	}
 }
 
-// take removes what waits.
-func (o *outbox) take(reuse []byte) (waiting []byte, closing bool) {
+// maxWriteBytes bounds the frames that are written with one call, but for a longer one.
+const maxWriteBytes = 16 << 10
+
+// take removes the frames that are to be written next; spare is memory for the queue. room
+// reports that there is room for a message that found none.
+func (o *outbox) take(spare [][]byte) (frames [][]byte, room, closing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	waiting = o.waiting
-	o.waiting = reuse[:0]
-	return waiting, o.closing
+	n, size := 0, 0
+	for n < len(o.frames) && (n == 0 || size+len(o.frames[n]) <= maxWriteBytes) {
+		size += len(o.frames[n])
+		n++
+	}
+	if n == len(o.frames) {
+		frames, o.frames = o.frames, spare[:0]
+	} else {
+		frames = append(spare[:0], o.frames[:n]...)
+		o.frames = slices.Delete(o.frames, 0, n)
+	}
+	o.bytes -= size
+	room = o.refused && o.bytes <= maxBacklogBytes/2
+	if room {
+		o.refused = false
+	}
+	return frames, room, o.closing
 }
 
-// maxReusedBytes bounds the buffer that an idle connection keeps.
-const maxReusedBytes = 8 << 10
+// Bounds of the memory that an idle connection keeps.
+const (
+	maxReusedBytes  = 8 << 10
+	maxReusedFrames = 64
+)
 
-// run writes until the outbox is closed and empty, or a write fails or takes longer
-// than timeout.
+// run writes until the outbox is closed and empty, a write fails, or the client takes
+// nothing for the timeout.
 func (o *outbox) run(conn net.Conn, timeout time.Duration) {
-	var written []byte
+	var spare [][]byte
+	var buffer []byte
 	for {
-		waiting, closing := o.take(written)
-		written = nil
-		if len(waiting) == 0 {
+		frames, room, closing := o.take(spare)
+		if room {
+			o.onRoom()
+		}
+		if len(frames) == 0 {
 			if closing {
 				return
 			}
+			spare = frames
 			<-o.wake
 			continue
 		}
-		if conn.SetWriteDeadline(time.Now().Add(timeout)) != nil {
-			return
+		data := frames[0]
+		if len(frames) > 1 {
+			buffer = join(buffer[:0], frames)
+			data = buffer
 		}
-		if _, err := conn.Write(waiting); err != nil {
+		if writeAll(conn, data, timeout) != nil {
 			return
 		}
-		if cap(waiting) <= maxReusedBytes {
-			written = waiting
+		clear(frames)
+		spare = frames
+		if cap(buffer) > maxReusedBytes {
+			buffer = nil
+		}
+		if cap(spare) > maxReusedFrames {
+			spare = nil
+		}
+	}
+}
+
+// join appends frames to a buffer.
+func join(buffer []byte, frames [][]byte) []byte {
+	for _, frame := range frames {
+		buffer = append(buffer, frame...)
+	}
+	return buffer
+}
+
+// writeAll writes all of data, as long as some of it is taken within each timeout.
+func writeAll(conn net.Conn, data []byte, timeout time.Duration) error {
+	for len(data) > 0 {
+		if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+			return err
+		}
+		n, err := conn.Write(data)
+		if err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+			return err
 		}
+		data = data[n:]
 	}
+	return nil
 }
--- a/internal/rpc/calls.go
+++ b/internal/rpc/calls.go
@@ -43,6 +43,7 @@
 	"/suspect":        true,
 	"/topics/count":   true,
 	"/topics/publish": true,
+	"/topics/read":    true,
 	"/view":           true,
 }
 
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -15,6 +15,7 @@
 	PathPublish = "/topics/publish"
 	PathFollow  = "/topics/follow"
 	PathPoll    = "/topics/poll"
+	PathRead    = "/topics/read"
 	PathCount   = "/topics/count"
 )
 
@@ -69,6 +70,9 @@
 	Drop     []string       `json:"d,omitempty"`   // topics to follow no longer
 	Counts   map[string]int `json:"c,omitempty"`   // of the gateway's subscribers, where they changed
 	MaxBytes int            `json:"max,omitempty"` // about as many the answer may have; 0: any
+	// MaxBacklog bounds the bytes of messages of each topic; 0: any. Of more than that the
+	// newest are in the answer, and the gateway reads the others.
+	MaxBacklog int `json:"backlog,omitempty"`
 }
 
 // Followed is a topic that a gateway follows from now on.
@@ -93,7 +97,8 @@
 	Later    bool               `json:"l,omitempty"` // the answer is full; it is not followed, and may be asked for again at once
 	End      partition.Position `json:"e,omitzero"`  // of the last message; later ones are polled
 	Floor    partition.Position `json:"f,omitzero"`  // messages up to here were deleted after their retention
-	Entries  []Entry            `json:"m,omitempty"` // the messages asked for, up to End
+	Skipped  partition.Position `json:"k,omitzero"`  // the messages asked for up to here are left out, over MaxBacklog
+	Entries  []Entry            `json:"m,omitempty"` // the other messages asked for, up to End
 }
 
 // Entry is a message of a topic, without its body.
@@ -123,6 +128,21 @@
 	Entries []Entry `json:"m,omitempty"`
 }
 
+// ReadRequest asks a broker for the messages of a topic after a position.
+type ReadRequest struct {
+	Topic     string             `json:"t"`
+	Partition int                `json:"n"`
+	After     partition.Position `json:"a,omitzero"`
+	MaxBytes  int                `json:"max,omitempty"` // about as many the answer may have; 0: any
+}
+
+// ReadResponse holds the first messages after the position, one at least if there are any.
+type ReadResponse struct {
+	End     partition.Position `json:"e,omitzero"` // of the last message of the topic
+	Floor   partition.Position `json:"f,omitzero"` // messages up to here were deleted after their retention
+	Entries []Entry            `json:"m,omitempty"`
+}
+
 // CountRequest asks how many subscribers a topic has, at all gateways.
 type CountRequest struct {
 	Topic     string `json:"t"`
