--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -26,7 +26,7 @@
 	defer s.wakeUp()
 	defer s.endDelivery(m)
 	now := time.Now()
-	e.inFlight--
+	s.endDeliveryLocked(e)
 	m.running = false
 	if !result.IdleConnectionBroke {
 		s.recordOutcomeLocked(e, m.queue, result.Outcome, now)
@@ -93,7 +93,9 @@
 	e.health.recordOutcome(o, now, s.timing)
 	switch o {
 	case handler.WrongInstance: // another endpoint has its address: it does not run any more
-		s.endpoints.removeIfCurrent(e, q.service)
+		if !e.static {
+			s.endpoints.remove(e)
+		}
 	case handler.NoResponse:
 		s.config.Pool.Forget(e.Address) // its connections may be stalled
 	default:
--- a/internal/delivery/endpoint.go
+++ b/internal/delivery/endpoint.go
@@ -16,34 +16,54 @@
 type endpoint struct {
 	handler.Instance
 	static   bool
+	removed  bool // the configuration or the registry has it no more; see endpointTable.remove
 	inFlight int
 	health   endpointHealth
 }
 
+// key is the name of the endpoint in the table.
+func (e *endpoint) key() string {
+	if e.static {
+		return e.Address
+	}
+	return e.ID
+}
+
 // capacity is how many deliveries the endpoint takes at once.
 func (e *endpoint) capacity() int { return max(1, e.Slots) }
 
-// newStaticEndpoint makes the endpoint of a service that has no instances. Its
-// slots are two thirds of the connections that the service takes.
+// newStaticEndpoint makes the endpoint of a service that has no instances.
 func newStaticEndpoint(service *configuration.Service) *endpoint {
-	e := &endpoint{static: true, Instance: handler.Instance{Address: service.StaticEndpoint, Service: service.Name}}
-	e.Slots = max(1, int(service.MaxConnections)*2/3)
-	return e
+	return &endpoint{static: true, Instance: handler.Instance{Address: service.StaticEndpoint, Service: service.Name}}
+}
+
+// staticSlots are the slots of the static endpoint of a service: two thirds of the
+// connections that the service takes.
+func staticSlots(service *configuration.Service) int {
+	return max(1, int(service.MaxConnections)*2/3)
 }
 
 // endpointTable holds the endpoints by service, then by instance or, for a static
 // one, by address. It has no lock: the scheduler's guards it.
 type endpointTable map[string]map[string]*endpoint
 
-// ofService returns the endpoints of a service, with its static one if it has one.
+// ofService returns the endpoints of a service, with its static one, as the configuration
+// has it, if it has one.
 func (t endpointTable) ofService(service *configuration.Service) map[string]*endpoint {
 	if service.StaticEndpoint == "" {
 		return t[service.Name]
 	}
 	list := t.create(service.Name)
-	if list[service.StaticEndpoint] == nil {
-		list[service.StaticEndpoint] = newStaticEndpoint(service)
+	e := list[service.StaticEndpoint]
+	switch {
+	case e == nil:
+		e = newStaticEndpoint(service)
+		list[service.StaticEndpoint] = e
+	case e.removed: // its address is back
+		e.removed = false
+		e.health = endpointHealth{}
 	}
+	e.Slots = staticSlots(service)
 	return list
 }
 
@@ -68,13 +88,6 @@
 	list[id] = &endpoint{Instance: in, health: endpointHealth{slowStartUntil: now.Add(warmUp)}}
 }
 
-// removeIfCurrent removes an endpoint unless another one has its name by now.
-func (t endpointTable) removeIfCurrent(e *endpoint, service string) {
-	if list := t[service]; list[e.ID] == e {
-		delete(list, e.ID)
-	}
-}
-
 // ApplyEvent follows what the control plane distributes: about handlers, whose
 // ready instances become endpoints; any other event makes the scheduler look at
 // its queues.
@@ -102,8 +115,8 @@
 		if e == nil || ready && service == in.Service {
 			continue
 		}
-		delete(list, id)
-		s.config.Pool.Forget(e.Address)
+		s.endpoints.remove(e)
+		s.closeIdleLocked(e)
 	}
 	if ready {
 		s.endpoints.update(id, in, time.Now())
--- a/internal/delivery/fakes_test.go
+++ b/internal/delivery/fakes_test.go
@@ -76,11 +76,15 @@
 
 	mu       sync.Mutex
 	attempts []string
+	dialed   []string // addresses
 	running  int
 	most     int // at once
 }
 
-func (h *fakeHandler) dial(context.Context, string) (net.Conn, error) {
+func (h *fakeHandler) dial(_ context.Context, address string) (net.Conn, error) {
+	h.mu.Lock()
+	h.dialed = append(h.dialed, address)
+	h.mu.Unlock()
 	near, far := net.Pipe()
 	go h.serve(far)
 	return near, nil
--- a/internal/delivery/pick.go
+++ b/internal/delivery/pick.go
@@ -32,7 +32,7 @@
 	bestCost := 0.0
 	wait := s.timing.endpointRecheck()
 	for _, e := range endpoints {
-		if e.static != static {
+		if e.static != static || static && e.Address != service.StaticEndpoint {
 			continue
 		}
 		cost, recheck, free := pick.cost(e)
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -44,6 +44,9 @@
 	return min(most, q.scheduled[0].due.Sub(now))
 }
 
+// isEmpty reports whether no message waits.
+func (q *serviceQueue) isEmpty() bool { return len(q.scheduled) == 0 && q.dueCount() == 0 }
+
 // dueCount is how many messages are due.
 func (q *serviceQueue) dueCount() int { return len(q.ready) + len(q.late) }
 
--- a/internal/delivery/scheduler.go
+++ b/internal/delivery/scheduler.go
@@ -64,6 +64,7 @@
 	mu         sync.Mutex
 	queues     map[string]*serviceQueue // by service
 	endpoints  endpointTable
+	reconciled *configuration.Table // the configuration that the queues and endpoints follow
 	partitions map[int]*partitionMessages
 }
 
@@ -116,6 +117,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.reconcileLocked()
 	for _, e := range events {
 		s.applyPartitionEventLocked(e, now)
 	}
