--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -6,6 +6,7 @@
 
 	"saltreel/internal/configuration"
 	"saltreel/internal/partition"
+	"saltreel/internal/quota"
 )
 
 // maxWithoutEndpoint is after how many messages without a free endpoint the
@@ -106,7 +107,7 @@
 		r.withoutEndpoint++
 		return r.withoutEndpoint <= maxWithoutEndpoint
 	}
-	if throttle := s.recordBytes(m, route); throttle > 0 {
+	if throttle := s.recordBytes(m, route, r.now); throttle > 0 {
 		s.endDelivery(m)
 		r.returnToken()
 		m.due = r.now.Add(throttle)
@@ -142,10 +143,12 @@
 
 // recordBytes records the size of a delivery with the quota of its tenant. If it
 // is over its limit, nothing goes out: the size is taken back, and the throttle
-// time is returned.
-func (s *Scheduler) recordBytes(m *message, route *configuration.Route) time.Duration {
+// time is returned. It ends one window after the message was due: the message was
+// accepted, so it is owed, whatever the limit is by now.
+func (s *Scheduler) recordBytes(m *message, route *configuration.Route, now time.Time) time.Duration {
 	size := float64(len(m.record.Body))
 	throttle := s.config.Bytes.Record(m.record.Tenant, route.Name, size)
+	throttle = min(throttle, m.eligibleSince.Add(quota.Window).Sub(now))
 	if throttle > 0 {
 		s.config.Bytes.Unrecord(m.record.Tenant, route.Name, size)
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// A limit that was low for seconds must not make anyone wait for longer than its use counts.
+func TestThrottleTimeIsBounded(t *testing.T) {
+	for _, bound := range []float64{0, 1e-9, 1.0 / 60, 1} {
+		if x := ThrottleTime(1000, bound); x != MaxThrottleTime {
+			t.Errorf("T=%v: X=%v, not %v", bound, x, MaxThrottleTime)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		m := NewManager(RequestBytes)
+		m.SetLimit(Entity{Tenant: "a"}, 1.0/60)
+		time.Sleep(m.Record("a", "r", 1000))
+		if rate := m.Rate("a", "r"); rate != 0 {
+			t.Errorf("after X the rate is %v", rate)
+		}
+	})
+}
+
 func TestRequestIsRecordedThenChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := NewManager(RequestBytes)
--- a/internal/quota/sensor.go
+++ b/internal/quota/sensor.go
@@ -91,12 +91,16 @@
 // minBound avoids a division by zero for a limit of 0.
 const minBound = 1e-3
 
+// MaxThrottleTime is the longest throttle time: after it a sensor has forgotten what it
+// observed, so nothing asks for a longer one.
+const MaxThrottleTime = Samples * Window
+
 // ThrottleTime returns the time X that brings an observed rate O back to its bound T
-// over a window W: O·W/(W+X) = T. It is 0 within the bound, and at most Idle.
+// over a window W: O·W/(W+X) = T. It is 0 within the bound, and at most MaxThrottleTime.
 func ThrottleTime(observed, bound float64) time.Duration {
 	if observed <= bound {
 		return 0
 	}
 	x := (observed - bound) / max(bound, minBound) * float64(Window)
-	return time.Duration(min(x, float64(Idle)))
+	return time.Duration(min(x, float64(MaxThrottleTime)))
 }
