--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -100,6 +100,9 @@
 // ApplyEvent implements store.Workload: a broker needs nothing but its partitions.
 func (b *Broker) ApplyEvent(journal.Event) {}
 
+// EndBy implements store.Workload: nothing here takes long.
+func (b *Broker) EndBy(time.Time) {}
+
 // Idle implements store.Workload: nothing of a partition is in flight but accepts,
 // which a handover waits for itself.
 func (b *Broker) Idle(int) bool { return true }
--- a/internal/cluster/handlers_test.go
+++ b/internal/cluster/handlers_test.go
@@ -1,10 +1,12 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"saltreel/internal/httpwire"
@@ -20,6 +22,7 @@
 	// respond decides how a delivery is answered, and after how long; without it
 	// each succeeds after 5 ms.
 	respond func(d delivery) (status int, took time.Duration)
+	slots   atomic.Int64 // of each handler, as its next heartbeat says; 0: 2
 }
 
 // delivery is one delivery of a message to a handler. Its ID is that of the
@@ -78,7 +81,7 @@
 func (s *service) heartbeat(in *instance) bool {
 	s.mu.Lock()
 	in.heartbeatSeq++
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"revision":"v1","slots":2,"oper-state":%q,"call-seq":%d}`, s.name, in.address, in.zone, in.state, in.heartbeatSeq)
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"revision":"v1","slots":%d,"oper-state":%q,"call-seq":%d}`, s.name, in.address, in.zone, cmp.Or(s.slots.Load(), 2), in.state, in.heartbeatSeq)
 	s.mu.Unlock()
 	return s.callCore("PUT", in.id, body) == 200
 }
--- a/internal/cluster/operator_test.go
+++ b/internal/cluster/operator_test.go
@@ -37,6 +37,7 @@
 	duplicateKey     bool   // tenant two has a key of tenant one
 	unknownService   bool   // routes lead to a service that does not exist
 	zeroTimeout      bool
+	timeoutMs        int // of one delivery; 0: 500
 }
 
 func (w *world) configuration(revision int, o options) []byte {
@@ -53,6 +54,9 @@
 		o.apiKeys = `"key-one"`
 	}
 	timeout := 500
+	if o.timeoutMs > 0 {
+		timeout = o.timeoutMs
+	}
 	if o.zeroTimeout {
 		timeout = 0
 	}
--- a/internal/cluster/store_failure_test.go
+++ b/internal/cluster/store_failure_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
@@ -68,6 +69,35 @@
 	})
 }
 
+// Guards against successes that run again since the store that stops read them just before it
+// ended (docs/incidents/successes-of-a-stopping-store.md): runs take up to 3.5 s, nearly as long
+// as a store may take to stop.
+func TestRollingRestartWithLongRunsDeliversExactlyOnce(t *testing.T) {
+	runCluster(t, func(w *world) {
+		plain := w.newService("plain", "z1", "z2", "z3")
+		plain.slots.Store(60)
+		plain.respond = func(delivery) (int, time.Duration) {
+			return 200, 50*time.Millisecond + rand.N(3450*time.Millisecond)
+		}
+		w.applyConfiguration(options{timeoutMs: 4000})
+		names := w.withTraffic(plain, func() {
+			time.Sleep(4 * time.Second)
+			for _, z := range zones {
+				if took := w.terminateMachine("store-" + z); took > 6*time.Second {
+					t.Errorf("store-%s took %v to stop", z, took)
+				}
+				time.Sleep(time.Second)
+				w.startMachine("store-"+z, false)
+				time.Sleep(4 * time.Second)
+			}
+		})
+		t.Logf("%d messages", len(names))
+		for id := range names {
+			plain.checkDeliveredOnce(id)
+		}
+	})
+}
+
 // A primary that was isolated while its messages became due delivers none of them
 // when it is connected again.
 func TestDeposedPrimaryDeliversNothingAfterIsolation(t *testing.T) {
--- a/internal/delivery/attempt.go
+++ b/internal/delivery/attempt.go
@@ -1,7 +1,6 @@
 package delivery
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -12,8 +11,8 @@
 
 // attempt makes one delivery and draws the consequences. The instance is that of
 // the endpoint as it was at the start: an event may replace it meanwhile.
-func (s *Scheduler) attempt(ctx context.Context, m *message, e *endpoint, instance handler.Instance, route *configuration.Route) {
-	result := s.deliver(ctx, m, instance, route)
+func (s *Scheduler) attempt(m *message, e *endpoint, instance handler.Instance, route *configuration.Route) {
+	result := s.deliver(m, instance, route)
 	dead := isDead(result.Outcome, m.failedAttempts, int(route.MaxAttempts))
 	switch {
 	case dead:
@@ -45,12 +44,17 @@
 	s.enqueueLocked(m)
 }
 
+// routeTimeout is how long one attempt of a message may take.
+func routeTimeout(route *configuration.Route) time.Duration {
+	return time.Duration(route.TimeoutMs) * time.Millisecond
+}
+
 // deliver hands a message to an endpoint. A delivery in flight ends in its own
-// time, even when the process stops.
-func (s *Scheduler) deliver(ctx context.Context, m *message, instance handler.Instance, route *configuration.Route) handler.Result {
+// time, also when the process stops, but for what EndBy says.
+func (s *Scheduler) deliver(m *message, instance handler.Instance, route *configuration.Route) handler.Result {
 	r := m.record
 	began := time.Now()
-	result := handler.Deliver(context.WithoutCancel(ctx), s.config.Pool, handler.Delivery{
+	result := handler.Deliver(s.answering, s.config.Pool, handler.Delivery{
 		Address:  instance.Address,
 		Instance: instance.ID,
 		ID:       r.ID,
@@ -61,7 +65,7 @@
 		Host:     r.Host,
 		Type:     r.Type,
 		Body:     r.Body,
-		Timeout:  time.Duration(route.TimeoutMs) * time.Millisecond,
+		Timeout:  routeTimeout(route),
 	})
 	switch result.Outcome {
 	case handler.Done, handler.Refused, handler.Failed: // the handler's word
--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -87,6 +87,11 @@
 		r.next = 0
 		return true
 	}
+	if !s.mayEndInTimeLocked(route, r.now) { // the next primary makes it
+		s.endDelivery(m)
+		r.retryIn(m, s.timing.endpointRecheck())
+		return true
+	}
 	return s.startLocked(ctx, r, m, route)
 }
 
@@ -121,7 +126,7 @@
 	m.tries++
 	e.inFlight++
 	instance := e.Instance
-	s.attempts.Go(func() { s.attempt(ctx, m, e, instance, route) })
+	s.attempts.Go(func() { s.attempt(m, e, instance, route) })
 	return true
 }
 
--- a/internal/delivery/scheduler.go
+++ b/internal/delivery/scheduler.go
@@ -60,8 +60,12 @@
 	inFlight inFlightCounter
 	wake     chan struct{}
 	attempts sync.WaitGroup
+	breakOff context.CancelFunc // ends answering
+	// answering is the context of all attempts: it ends when no answer is to be read any more.
+	answering context.Context
 
 	mu         sync.Mutex
+	endBy      time.Time                // when the process is to end; zero while it is not
 	queues     map[string]*serviceQueue // by service
 	endpoints  endpointTable
 	reconciled *configuration.Table // the configuration that the queues and endpoints follow
@@ -73,7 +77,10 @@
 	if err := config.check(); err != nil {
 		return nil, err
 	}
+	answering, breakOff := context.WithCancel(context.Background())
 	return &Scheduler{
+		answering:  answering,
+		breakOff:   breakOff,
 		config:     config,
 		timing:     timing{config.Settings.Contact()},
 		wake:       make(chan struct{}, 1),
@@ -91,10 +98,25 @@
 	}
 }
 
+// EndBy says when the process is to end: deliveries that may take longer begin no more,
+// and those in flight then are broken off, so that no answer is read any more.
+func (s *Scheduler) EndBy(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endBy = end
+	time.AfterFunc(time.Until(end), s.breakOff)
+}
+
+// mayEndInTimeLocked reports whether a delivery that begins now ends before the process.
+func (s *Scheduler) mayEndInTimeLocked(route *configuration.Route, now time.Time) bool {
+	return s.endBy.IsZero() || !now.Add(routeTimeout(route)).After(s.endBy)
+}
+
 // Idle reports whether no delivery of a partition is in flight.
 func (s *Scheduler) Idle(partition int) bool { return s.inFlight.count(partition) == 0 }
 
-// Run schedules until ctx ends, then waits for the deliveries in flight.
+// Run schedules until ctx ends, then waits for the deliveries in flight: until EndBy at
+// the longest.
 func (s *Scheduler) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/store/messages.go
+++ b/internal/store/messages.go
@@ -89,6 +89,9 @@
 	tasks.Wait()
 }
 
+// EndBy implements Workload.
+func (m *messages) EndBy(end time.Time) { m.scheduler.EndBy(end) }
+
 // ApplyEvent implements Workload.
 func (m *messages) ApplyEvent(e journal.Event) {
 	if t := m.node.Table(); e.Key == distribution.KeyConfiguration && t != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,9 +29,12 @@
 type Workload interface {
 	// Calls are the calls about messages that it serves. docs/calls.md lists them.
 	Calls() rpc.Mux
-	// Run consumes the events of the partitions until ctx ends, then ends what is
+	// Run consumes the events of the partitions until ctx ends, then waits for what is
 	// in flight.
 	Run(ctx context.Context)
+	// EndBy says when the process is to end: nothing begins any more that may take
+	// longer, and what is in flight then is broken off.
+	EndBy(end time.Time)
 	// ApplyEvent follows what the control plane distributes.
 	ApplyEvent(e journal.Event)
 	// Idle reports whether nothing of a partition is in flight, so that it may be
@@ -211,10 +214,11 @@
 		s.drain()
 	case err := <-written:
 		s.log.Printf("store: stopping: %v", err)
+		s.workload.EndBy(time.Now().Add(s.timing.deliveries()))
 		written <- err
 	}
 	stopDeliveries()
-	s.waitForDeliveries(delivered)
+	s.finishDeliveries(delivered)
 	s.shutdown(server)
 	stopServing()
 	tasks.Wait()
@@ -233,13 +237,15 @@
 	return done
 }
 
-// waitForDeliveries waits for the deliveries in flight, so that their outcomes
-// reach the disk and the backups. Those that take longer are made again by the
-// next primary.
-func (s *Store) waitForDeliveries(delivered <-chan struct{}) {
-	select {
-	case <-delivered:
-	case <-time.After(s.timing.deliveries()):
+// finishDeliveries waits for the deliveries in flight, and until the backups have their
+// outcomes. Those that take longer are broken off, and made again by the next primary:
+// no answer is read whose outcome would be lost with this process.
+func (s *Store) finishDeliveries(delivered <-chan struct{}) {
+	<-delivered
+	ctx, cancel := context.WithTimeout(context.Background(), s.timing.flush())
+	defer cancel()
+	if err := s.partitions.Flush(ctx); err != nil {
+		s.log.Printf("store: %v", err)
 	}
 }
 
@@ -248,6 +254,7 @@
 func (s *Store) drain() {
 	s.node.Drain()
 	deadline := time.Now().Add(s.timing.drain())
+	s.workload.EndBy(deadline.Add(s.timing.deliveries()))
 	for s.partitions.HoldsAny() && time.Now().Before(deadline) {
 		time.Sleep(s.timing.drainPoll())
 	}
--- a/internal/store/timing.go
+++ b/internal/store/timing.go
@@ -38,7 +38,10 @@
 func (t timing) drainPoll() time.Duration { return t.contactTimeout / 200 }
 
 // deliveries is how long the deliveries in flight may take after that.
-func (t timing) deliveries() time.Duration { return t.grace / 8 }
+func (t timing) deliveries() time.Duration { return t.grace / 16 }
+
+// flush is how long the backups may take after that to have all outcomes.
+func (t timing) flush() time.Duration { return t.grace / 16 }
 
 // diskRetry is how often it is tried to open a disk that does not work.
 func (t timing) diskRetry() time.Duration { return t.contactTimeout / 40 }
