--- a/internal/delivery/dispatch.go
+++ b/internal/delivery/dispatch.go
@@ -1,7 +1,6 @@
 package delivery
 
 import (
-	"context"
 	"time"
 
 	"saltreel/internal/configuration"
@@ -32,7 +31,7 @@
 
 // dispatchLocked starts the deliveries of one service that can start now, and
 // returns when to look again.
-func (s *Scheduler) dispatchLocked(ctx context.Context, q *serviceQueue, now time.Time) time.Duration {
+func (s *Scheduler) dispatchLocked(q *serviceQueue, now time.Time) time.Duration {
 	q.releaseDue(now)
 	next := q.untilNextDue(now, s.timing.idle())
 	if q.dueCount() == 0 {
@@ -44,7 +43,7 @@
 	}
 	r := dispatchRound{now: now, table: table, service: table.Service(q.service), queue: q, next: next}
 	for m := q.pop(now); m != nil; m = q.pop(now) {
-		if more := s.dispatchMessageLocked(ctx, &r, m); !more {
+		if more := s.dispatchMessageLocked(&r, m); !more {
 			break
 		}
 	}
@@ -56,7 +55,7 @@
 
 // dispatchMessageLocked starts the delivery of a message, ends it, or puts it off,
 // and reports whether the round goes on.
-func (s *Scheduler) dispatchMessageLocked(ctx context.Context, r *dispatchRound, m *message) (more bool) {
+func (s *Scheduler) dispatchMessageLocked(r *dispatchRound, m *message) (more bool) {
 	if m.ended {
 		return true
 	}
@@ -92,13 +91,13 @@
 		r.retryIn(m, s.timing.endpointRecheck())
 		return true
 	}
-	return s.startLocked(ctx, r, m, route)
+	return s.startLocked(r, m, route)
 }
 
 // startLocked starts the delivery of a message if its service's pace, an
 // endpoint and the tenant's quota of bytes allow it, and reports whether the
 // round goes on.
-func (s *Scheduler) startLocked(ctx context.Context, r *dispatchRound, m *message, route *configuration.Route) (more bool) {
+func (s *Scheduler) startLocked(r *dispatchRound, m *message, route *configuration.Route) (more bool) {
 	if !s.takeToken(r) {
 		s.endDelivery(m)
 		r.retryIn(m, r.queue.pacer.untilToken(r.service.RatePerS))
--- a/internal/delivery/scheduler.go
+++ b/internal/delivery/scheduler.go
@@ -146,7 +146,7 @@
 	next := s.timing.idle()
 	if ctx.Err() == nil {
 		for _, q := range s.queues {
-			next = min(next, s.dispatchLocked(ctx, q, now))
+			next = min(next, s.dispatchLocked(q, now))
 		}
 	}
 	return max(next, time.Millisecond)
