processtest: disks in memory, and a drain that lasts until all signals have come

Traced: with 100 ms between the first signal and the others it passes in its former form too, so a process that drained did not end too early there. What is left is the disk: the start and the end of a store and a core wait for syncs, within 30 s and grace-s. Clusters of this package now have their disks in memory where there is such a folder; no test of it is about the speed of a disk. An edge and a core hold a request while the signals come, so that an early end can't decide the verdict.

--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -104,7 +105,37 @@
 func newCluster(t *testing.T, number int) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	return &cluster{t: t, dir: dir, network: fmt.Sprintf("127.71.%d", number), storage: dir}
+	return &cluster{t: t, dir: dir, network: fmt.Sprintf("127.71.%d", number), storage: diskFolder(t)}
+}
+
+// memoryFolder is where Linux has files in memory.
+const memoryFolder = "/dev/shm"
+
+// diskFolder makes a folder for the disks of a cluster: in memory where that is possible, since
+// no test here is about the speed of a disk, and the one of this machine may take seconds to
+// sync while others write.
+func diskFolder(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryFolder, "processtest-")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
+// holdRequest sends the beginning of a request to a port of a role and returns what ends the
+// connection. Until then the process has a request to wait for when it drains.
+func (c *cluster) holdRequest(role string, port int) (end func()) {
+	c.t.Helper()
+	conn, err := net.DialTimeout("tcp", c.address(role, port), limit)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("PUT /v1/configuration HTTP/1.1\r\nHost: app.example\r\nContent-Length: 1000\r\n\r\n{")); err != nil {
+		c.t.Fatal(err)
+	}
+	return func() { _ = conn.Close() }
 }
 
 func (c *cluster) address(role string, port int) string {
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -43,11 +43,17 @@
 	}
 }
 
-// While a process drains, neither SIGHUP nor a second SIGTERM may cut that short.
+// While a process drains, neither SIGHUP nor a second SIGTERM may cut that short. A core and an
+// edge without requests have nothing to drain and may end before the next signal comes, so they
+// are given one that is held; a store has its partitions, which no other store takes.
 func TestSignalsWhileDraining(t *testing.T) {
 	c := newCluster(t, clusterDraining)
 	core, store, edge := c.startAll()
 	for _, p := range []*process{edge, store, core} {
+		release := func() {}
+		if port, ok := map[string]int{"edge": 8749, "core": 8741}[p.role]; ok {
+			release = c.holdRequest(p.role, port)
+		}
 		p.signal(syscall.SIGTERM)
 		p.waitForLog("platform: stopping")
 		p.signal(syscall.SIGHUP)
@@ -55,6 +61,7 @@
 		p.signal(os.Interrupt)
 		p.waitForLog("platform: the settings are not read again")
 		p.waitForLog("platform: stopping already")
+		release()
 		p.waitForEnd()
 		if !strings.Contains(p.log.String(), p.role+": ended") {
 			t.Errorf("%s did not end in order:\n%s", p.role, p.log)
