--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -31,6 +31,8 @@
 	Now() int64
 	// AcceptAll stores messages of a partition in their order.
 	AcceptAll(ctx context.Context, n int, records []*partition.Record) []error
+	// HoldsNumber reports whether a publisher's number on a topic is stored.
+	HoldsNumber(n int, topic, publisher string, number int64) bool
 }
 
 // Config is what a Broker needs; all fields are required.
@@ -61,6 +63,7 @@
 	mu       sync.Mutex // guards all below
 	topics   topicTable
 	sessions map[string]*session // by gateway
+	refusals refusals
 }
 
 // New makes a broker without topics.
@@ -73,6 +76,7 @@
 		timing:   timing{config.ContactTimeout, config.Retransmit},
 		topics:   newTopicTable(),
 		sessions: map[string]*session{},
+		refusals: newRefusals(),
 	}, nil
 }
 
@@ -93,6 +97,7 @@
 		"/topics/follow":  rpc.RawHandler(b.handleFollow, statusCode),
 		"/topics/poll":    rpc.RawHandler(b.handlePoll, statusCode),
 		"/topics/read":    rpc.RawHandler(b.handleRead, statusCode),
+		"/topics/refuse":  rpc.Handler(b.handleRefuse, statusCode),
 		"/topics/count":   rpc.Handler(b.handleCount, statusCode),
 	}
 }
@@ -160,6 +165,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.topics.deleteExpired(b.config.Partitions.Now())
+	b.refusals.forget(time.Now().Add(-b.timing.extraRetention()))
 	for gateway, s := range b.sessions {
 		if s.isAbandoned(time.Now(), b.timing.sessionTimeout()) {
 			b.config.Log.Printf("broker: the session of %s ended: %d messages wait for its next poll", gateway, len(s.outbox))
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -19,15 +19,25 @@
 	now     int64
 	outcome []error
 	stored  []*partition.Record
+	during  func() // an accept; nil: nothing
 }
 
 func (f *fakePartitions) Events() ([]partition.Event, <-chan struct{}) { return nil, nil }
 func (f *fakePartitions) Now() int64                                   { return f.now }
 func (f *fakePartitions) AcceptAll(_ context.Context, _ int, records []*partition.Record) []error {
 	f.stored = append(f.stored, records...)
+	if f.during != nil {
+		f.during()
+	}
 	return f.outcome
 }
 
+func (f *fakePartitions) HoldsNumber(_ int, topic, publisher string, number int64) bool {
+	return slices.ContainsFunc(f.stored, func(r *partition.Record) bool {
+		return r.Topic == topic && r.Publisher == publisher && r.Number == number
+	})
+}
+
 func newBroker(t *testing.T) (*Broker, *fakePartitions) {
 	t.Helper()
 	f := &fakePartitions{now: 1000}
@@ -287,3 +297,63 @@
 		t.Errorf("not led here: %v", err)
 	}
 }
+
+// Guards against RETRY for a number that was accepted, or that a try on its way stores later
+// (docs/incidents/retry-after-accept.md): a publisher sends its message under a new number then,
+// and subscribers get it twice.
+func TestRefusedNumberIsNeverStored(t *testing.T) {
+	b, f := newBroker(t)
+	lead(b)
+	refuse := func(number int64) bool {
+		t.Helper()
+		out, err := b.handleRefuse(t.Context(), &topic.RefuseRequest{Topic: "t", Publisher: "p", Number: number}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.Refused
+	}
+	publish := func(numbers ...int64) []topic.Outcome {
+		t.Helper()
+		in := &topic.PublishRequest{Topic: "t", Publisher: "p", WaitMs: 100}
+		f.outcome = nil
+		for _, number := range numbers {
+			in.Messages = append(in.Messages, topic.Publication{Number: number})
+			if !slices.Contains([]int64{5}, number) {
+				f.outcome = append(f.outcome, nil)
+			}
+		}
+		out, err := b.handlePublish(t.Context(), in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.Outcomes
+	}
+	publish(1)
+	if refuse(1) {
+		t.Error("a number that is stored is refused")
+	}
+	f.during = func() {
+		f.during = nil
+		f.stored = f.stored[:1] // its accept has just begun
+		if refuse(2) {
+			t.Error("a number that is being stored is refused")
+		}
+	}
+	publish(2)
+	if first := refuse(5); !first || !refuse(5) {
+		t.Error("a number that nobody stored is not refused")
+	}
+	if got := publish(4, 5, 6); !slices.Equal(got, []topic.Outcome{topic.Accepted, topic.Superseded, topic.Accepted}) {
+		t.Errorf("a refused number among others: %v", got)
+	}
+	if f.HoldsNumber(0, "t", "p", 5) || len(b.refusals.publishing) != 0 {
+		t.Errorf("the refused number is stored, or %d publications are under way", len(b.refusals.publishing))
+	}
+	b.refusals.forget(time.Now().Add(time.Minute))
+	if len(b.refusals.refused) != 0 {
+		t.Error("old refusals are kept")
+	}
+	if _, err := b.handleRefuse(t.Context(), &topic.RefuseRequest{Topic: "t", Partition: 9, Publisher: "p", Number: 7}, nil); !errors.Is(err, errNotReady) {
+		t.Errorf("not led here: %v", err)
+	}
+}
--- a/internal/broker/calls.go
+++ b/internal/broker/calls.go
@@ -19,9 +19,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(in.WaitMs)*time.Millisecond)
 	defer cancel()
+	accepting, refused := b.beginPublish(records)
+	defer b.endPublish(accepting)
+	errs := b.config.Partitions.AcceptAll(ctx, in.Partition, accepting)
 	out := &topic.PublishResponse{}
-	for _, err := range b.config.Partitions.AcceptAll(ctx, in.Partition, records) {
-		out.Outcomes = append(out.Outcomes, outcomeOf(err))
+	for _, isRefused := range refused {
+		if isRefused {
+			out.Outcomes = append(out.Outcomes, topic.Superseded)
+			continue
+		}
+		out.Outcomes = append(out.Outcomes, outcomeOf(errs[0]))
+		errs = errs[1:]
 	}
 	return out, nil
 }
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -182,8 +182,9 @@
 	c.send(linewire.AppendUnsubscribeOK(nil, command.Topic))
 }
 
-// handlePublish has a message published, unless the tenant is over its rate. Over
-// another quota, reads from the connection stop for the throttle time.
+// handlePublish has a message published, unless the tenant is over its rate and the
+// number was not accepted before. Over another quota, reads from the connection stop for
+// the throttle time.
 func (c *clientConn) handlePublish(ctx context.Context, command *linewire.Command, table *configuration.Table, space *configuration.Route) {
 	received := time.Now()
 	g := c.gateway
@@ -198,14 +199,14 @@
 		m.tenant = tenant.Name
 		throttle = g.checkRate(ctx, tenant, space.Name, m.deadline)
 	}
+	c.unanswered.Add(1)
+	m.answer = func(frame []byte) {
+		c.send(frame)
+		c.unanswered.Add(-1)
+	}
 	if throttle > 0 {
-		c.refuse(command, linewire.Retry)
+		g.publishers.refuse(publisherTopic{c.name, command.Topic}, m)
 	} else {
-		c.unanswered.Add(1)
-		m.answer = func(frame []byte) {
-			c.send(frame)
-			c.unanswered.Add(-1)
-		}
 		g.publishers.add(publisherTopic{c.name, command.Topic}, m)
 	}
 	c.hold(g.quotas.RecordRequest(c.quotaTenant(m.tenant), space.Name, len(command.Body), time.Since(received), throttle))
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -36,12 +36,18 @@
 	caller *brokerCaller
 	ctx    context.Context // of the calls
 
+	refusals chan struct{} // holds a value for each number that a broker is asked to refuse
+
 	mu     sync.Mutex
 	queues map[publisherTopic][]*publication // an entry exists while a goroutine works it off
 }
 
 func newPublishers(ctx context.Context, h *hub, caller *brokerCaller) *publishers {
-	return &publishers{hub: h, caller: caller, ctx: ctx, queues: map[publisherTopic][]*publication{}}
+	return &publishers{
+		hub: h, caller: caller, ctx: ctx,
+		refusals: make(chan struct{}, maxRefusals),
+		queues:   map[publisherTopic][]*publication{},
+	}
 }
 
 // maxQueued bounds the messages of one client on one topic that wait. Clients have
--- a/internal/partition/topiclog.go
+++ b/internal/partition/topiclog.go
@@ -128,6 +128,17 @@
 // find returns the entry of the same publication as r; nil if there is none.
 func (l *topicLog) find(r *Record) *Record { return l.byNumber[r.publication()] }
 
+// HoldsNumber reports whether this store leads partition n and has a publisher's number on a
+// topic, confirmed or not.
+func (m *Manager) HoldsNumber(n int, topic, publisher string, number int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.isPrimaryLocked(n) {
+		return false
+	}
+	return m.partitions[n].log.byNumber[publication{publisherTopic{publisher, topic}, number}] != nil
+}
+
 // isSuperseded reports whether the publisher's numbers on the topic have passed
 // that of r, or reached it.
 func (l *topicLog) isSuperseded(r *Record) bool {
--- a/internal/rpc/calls.go
+++ b/internal/rpc/calls.go
@@ -44,6 +44,7 @@
 	"/topics/count":   true,
 	"/topics/publish": true,
 	"/topics/read":    true,
+	"/topics/refuse":  true,
 	"/view":           true,
 }
 
--- a/internal/topic/topic.go
+++ b/internal/topic/topic.go
@@ -16,6 +16,7 @@
 	PathFollow  = "/topics/follow"
 	PathPoll    = "/topics/poll"
 	PathRead    = "/topics/read"
+	PathRefuse  = "/topics/refuse"
 	PathCount   = "/topics/count"
 )
 
@@ -128,6 +129,21 @@
 	Entries []Entry `json:"m,omitempty"`
 }
 
+// RefuseRequest asks whether a publisher's number may be refused: its tenant is over its
+// limit, but an earlier try of the number may have been accepted.
+type RefuseRequest struct {
+	Topic     string `json:"t"`
+	Partition int    `json:"n"`
+	Publisher string `json:"pb"`
+	Number    int64  `json:"m"`
+}
+
+// RefuseResponse says that the number is not and will not be stored, or else that it may
+// be: then it is to be published as any other, and doesn't count again.
+type RefuseResponse struct {
+	Refused bool `json:"x"`
+}
+
 // ReadRequest asks a broker for the messages of a topic after a position.
 type ReadRequest struct {
 	Topic     string             `json:"t"`
