--- a/internal/delivery/ending_test.go
+++ b/internal/delivery/ending_test.go
@@ -51,8 +51,8 @@
 			t.Errorf("the scheduler ended after %v", took)
 		}
 		time.Sleep(time.Second)
-		if !slices.Equal(h.attempts, []string{"m"}) || len(p.outcomes()) != 0 {
-			t.Errorf("%q was tried, outcomes %q", h.attempts, p.outcomes())
+		if tried := h.tried(); !slices.Equal(tried, []string{"m"}) || len(p.outcomes()) != 0 {
+			t.Errorf("%q was tried, outcomes %q", tried, p.outcomes())
 		}
 	})
 }
--- a/internal/delivery/fakes_test.go
+++ b/internal/delivery/fakes_test.go
@@ -127,6 +127,13 @@
 	return h.status(id, nth)
 }
 
+// tried lists the attempts so far.
+func (h *fakeHandler) tried() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.attempts)
+}
+
 func (h *fakeHandler) end() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -81,7 +81,7 @@
 	if digest.Outdated {
 		withoutPending(theirs)
 	}
-	toFetch = p.records.lacking(theirs)
+	toFetch = slices.DeleteFunc(p.records.lacking(theirs), isEntryID) // the primary decides which there are
 	m.wakeReplicatorLocked(peer)
 	return toSend, toFetch
 }
@@ -97,12 +97,11 @@
 	return states
 }
 
-// lacking lists the deferred messages that are not here, or only in an earlier
-// state.
+// lacking lists what is not here, or only in an earlier state: messages and log entries.
 func (s *recordSet) lacking(theirs map[string]State) []string {
 	var lacking []string
 	for id, state := range theirs {
-		if r := s.byID[id]; !isEntryID(id) && (r == nil || r.State < state) {
+		if r := s.byID[id]; r == nil || r.State < state {
 			lacking = append(lacking, id)
 		}
 	}
--- a/internal/partition/recovery.go
+++ b/internal/partition/recovery.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	m.mu.Lock()
-	lacking := p.records.lackingOf(digest.states())
+	lacking := p.records.lacking(digest.states())
 	m.mu.Unlock()
 	for len(lacking) > 0 {
 		taken, err := m.takeRecords(p, epoch, store.Address, lacking)
@@ -101,17 +101,6 @@
 	return &digest, nil
 }
 
-// lackingOf lists what is not here, or only in an earlier state: messages and log entries.
-func (s *recordSet) lackingOf(theirs map[string]State) []string {
-	var lacking []string
-	for id, state := range theirs {
-		if r := s.byID[id]; r == nil || r.State < state {
-			lacking = append(lacking, id)
-		}
-	}
-	return lacking
-}
-
 // maxIDsPerFetch bounds the identifiers in one FetchRequest.
 const maxIDsPerFetch = 1000
 
--- a/internal/partition/recovery_test.go
+++ b/internal/partition/recovery_test.go
@@ -84,7 +84,7 @@
 	digest := DigestResponse{IDs: map[State][]string{
 		Pending: {"ended here", "only there", entryID(Position{1, 1})}, Complete: {"ended there"},
 	}}
-	lacking := p.records.lackingOf(digest.states())
+	lacking := p.records.lacking(digest.states())
 	m.mu.Unlock()
 	slices.Sort(lacking)
 	if want := []string{entryID(Position{1, 1}), "ended there", "only there"}; !slices.Equal(lacking, want) {
