--- a/internal/cluster/message_search_run_test.go
+++ b/internal/cluster/message_search_run_test.go
@@ -135,6 +135,8 @@
 		m.withSemaphore(m.storeSemaphore, func() { m.withSemaphore(m.coreSemaphore, m.killAll) })
 	case wipeAfterAccept:
 		m.withSemaphore(m.storeSemaphore, func() { m.kill(m.storeThatAccepts(), s.lasts, true) })
+	case overlapLosses:
+		m.withSemaphore(m.storeSemaphore, func() { m.overlapLosses(s) })
 	case resetOfStore:
 		for name := range m.world.machines {
 			m.world.network.reset(m.world.machines["store-"+zone].ip, m.world.machines[name].ip)
@@ -277,6 +279,18 @@
 	}
 }
 
+// overlapLosses kills a store, and has the next one lose its disk within a second, mostly before
+// it has what the first one held. Both come back: one disk is lost, which the cluster
+// tolerates.
+func (m *maintenance) overlapLosses(s maintenanceStep) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { m.kill("store-"+zones[s.machine], s.lasts, false) })
+	time.Sleep(s.lasts / 4)
+	tasks.Go(func() { m.kill("store-"+zones[(s.machine+1)%len(zones)], s.lasts, true) })
+	tasks.Wait()
+	time.Sleep(recoveryTime)
+}
+
 // runningCore is the name of a core that runs.
 func (m *maintenance) runningCore(n int) string {
 	m.mu.Lock()
--- a/internal/cluster/message_search_test.go
+++ b/internal/cluster/message_search_test.go
@@ -76,6 +76,7 @@
 	resetOfStore    // its connections
 	killAllAtOnce   // all stores and cores, which come back within a second
 	wipeAfterAccept // the primary that has just accepted a message
+	overlapLosses   // a store is killed, and another one wiped before it is back
 	endOfKinds
 )
 
@@ -86,6 +87,7 @@
 		killEdge: "kill an edge", killStore: "kill a store", killCore: "kill a core", isolateStore: "isolate a store", wipeStore: "wipe a store",
 		freezeStore: "freeze a store", cutFromCores: "cut a store from the cores", cutFromStores: "cut a store from the stores",
 		resetOfStore: "reset the connections of a store", killAllAtOnce: "kill all stores and cores", wipeAfterAccept: "wipe a store that accepts",
+		overlapLosses: "kill a store and wipe the next one meanwhile",
 	}[k]
 }
 
