--- a/internal/chain/messages.go
+++ b/internal/chain/messages.go
@@ -46,6 +46,21 @@
 	NextAccepted bool `json:"next"`  // its acceptor may have accepted a value for the view after this one
 	Complete     bool `json:"whole"` // it is a member and holds every update that was ever committed
 	Ready        bool `json:"ready"` // it knows what a voter must know
+	// CompleteForView is the newest view for which its disk holds every update that was
+	// committed; 0 if there is none.
+	CompleteForView int64 `json:"whole-for,omitempty"`
+}
+
+// SnapshotRequest asks a core for the state on its disk.
+type SnapshotRequest struct {
+	Disk string `json:"disk"` // of the core that is asked; another disk at its address refuses
+}
+
+// Snapshot is the state on the disk of a core.
+type Snapshot struct {
+	CompleteForView int64     `json:"whole-for"` // as in ReplicaStatus
+	Sequence        int64     `json:"sequence"`  // of the last update
+	Documents       Documents `json:"set"`
 }
 
 // VoteRequest is a step of Paxos for the acceptor of one voter.
--- a/internal/chain/reconfigure.go
+++ b/internal/chain/reconfigure.go
@@ -36,7 +36,7 @@
 		c.installAndLog(ctx, newest)
 		return
 	}
-	if view.indexOf(c.Self) < 0 {
+	if view.indexOf(c.Self) < 0 || c.restore(ctx, view, statuses) {
 		return
 	}
 	next, safe := r.decide(view, statuses)
--- /dev/null
+++ b/internal/chain/restore_test.go
@@ -0,0 +1,54 @@
+package chain
+
+import "testing"
+
+// Guards against a control plane that stands still for ever, since no member of its view is
+// complete, although a core that was complete before is there (docs/incidents/overlapping-losses.md).
+// TestOverlappingLossesOfCores in package cluster plays it.
+func TestRestoreSource(t *testing.T) {
+	a, b, c := member("a"), member("b"), member("c")
+	joined := c
+	joined.Since = 4
+	view := View{Number: 6, Members: []Member{a, joined}, Voters: members("a", "b", "c")}
+	for name, test := range map[string]struct {
+		statuses map[Member]*ReplicaStatus
+		want     string
+	}{
+		"complete for the view before":      {answered(ReplicaStatus{CompleteForView: 3}, b), "b"},
+		"complete for a later one":          {answered(ReplicaStatus{CompleteForView: 5}, b), "b"},
+		"for an earlier one only":           {answered(ReplicaStatus{CompleteForView: 2}, b), ""},
+		"for none":                          {answered(ReplicaStatus{}, a, b, c), ""},
+		"a member is complete":              {merge(answered(ReplicaStatus{Complete: true, CompleteForView: 6}, a), answered(ReplicaStatus{CompleteForView: 3}, b)), ""},
+		"nobody answers":                    {nil, ""},
+		"one that lost its disk is another": {answered(ReplicaStatus{CompleteForView: 3}, Member{Address: "b", Disk: "b2"}), ""},
+	} {
+		if source, found := restoreSource(view, joined.Since, test.statuses); source.Address != test.want || found != (test.want != "") {
+			t.Errorf("%s: %q, %v", name, source.Address, found)
+		}
+	}
+}
+
+func TestWhoWasNeverComplete(t *testing.T) {
+	self := member("c")
+	view := func(since int64) View {
+		m := self
+		m.Since = since
+		return View{Number: 6, Members: []Member{member("a"), m}}
+	}
+	for name, test := range map[string]struct {
+		state durableState
+		since int64 // 0: it is not expected to take the state over
+	}{
+		"it was away and has joined again":           {durableState{view: view(4), completeForView: 2, sequence: 9}, 4},
+		"it is new":                                  {durableState{view: view(4)}, 4},
+		"it is complete":                             {durableState{view: view(4), completeForView: 6, sequence: 9}, 0},
+		"its disk was put back":                      {durableState{view: view(4), sequence: 9}, 0},
+		"complete for a view in which it had joined": {durableState{view: view(4), completeForView: 4, sequence: 9}, 0},
+		"it is no member":                            {durableState{view: View{Number: 6, Members: members("a")}, completeForView: 2}, 0},
+	} {
+		r := replica{durableState: test.state, self: self}
+		if since, never := r.wasNeverComplete(); never != (test.since > 0) || never && since != test.since {
+			t.Errorf("%s: since %d, %v", name, since, never)
+		}
+	}
+}
--- a/internal/chain/status.go
+++ b/internal/chain/status.go
@@ -18,6 +18,7 @@
 	c.mu.Lock()
 	view := c.replica.view
 	complete := c.replica.isComplete() && view.indexOf(c.Self) >= 0
+	completeForView := c.replica.completeForView
 	c.mu.Unlock()
 	if err := c.storage.err(); err != nil {
 		return nil, err
@@ -27,6 +28,8 @@
 		NextAccepted: c.acceptor.HasAccepted(view.Number + 1),
 		Complete:     complete,
 		Ready:        c.config.VoterReady(),
+
+		CompleteForView: completeForView,
 	}, nil
 }
 
--- a/internal/cluster/live_search_test.go
+++ b/internal/cluster/live_search_test.go
@@ -63,6 +63,7 @@
 	rollBroker
 	crashAllBrokers
 	crashTwoBrokers    // more than the cluster tolerates; their disks return
+	overlapBrokers     // one crashes, and the next is wiped before it is back
 	wipeBrokerAfterAck // the one that has just acknowledged a message
 	crashCore
 	crashGateway
@@ -74,7 +75,7 @@
 
 var liveFaultNames = []string{
 	"crash broker", "crash broker for a moment", "wipe broker", "freeze broker", "isolate broker", "isolate broker one way",
-	"cut broker from the cores", "roll broker", "crash all brokers", "crash two brokers", "wipe broker after an ACK", "crash core", "crash gateway",
+	"cut broker from the cores", "roll broker", "crash all brokers", "crash two brokers", "crash broker and wipe the next one meanwhile", "wipe broker after an ACK", "crash core", "crash gateway",
 	"roll gateway", "reset clients", "reset gateway from brokers",
 }
 
@@ -196,6 +197,16 @@
 		for _, z := range two {
 			w.startMachine("broker-"+z, false)
 		}
+	case overlapBrokers:
+		next := "broker-" + zones[(slices.Index(zones, s.zone)+1)%len(zones)]
+		w.killMachine(broker)
+		time.Sleep(s.lasts / 8)
+		w.killMachine(next)
+		w.wipeDisk(next)
+		inside()
+		w.startMachine(next, false)
+		w.startMachine(broker, false)
+		time.Sleep(recoveryTime)
 	case crashCore:
 		w.killMachine("core-" + s.zone)
 		inside()
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -223,6 +223,7 @@
 		"/news":           s.publisher.Handle,
 		"/chain/pass":     rpc.Handler(s.chain.HandleUpdate, chain.StatusCode),
 		"/chain/standing": rpc.Handler(s.chain.HandleStatus, chain.StatusCode),
+		"/chain/snapshot": rpc.Handler(s.chain.HandleSnapshot, chain.StatusCode),
 		"/chain/adopt":    rpc.Handler(s.chain.HandleInstallView, chain.StatusCode),
 		"/ballot":         rpc.Handler(s.chain.HandleVote, chain.StatusCode),
 		"/duty":           rpc.Handler(s.handleLease),
--- a/internal/rpc/calls.go
+++ b/internal/rpc/calls.go
@@ -30,6 +30,7 @@
 	"/body":           true,
 	"/chain/adopt":    true,
 	"/chain/pass":     true,
+	"/chain/snapshot": true,
 	"/chain/standing": true,
 	"/digest":         true,
 	"/duty":           true,
