httpwire: one budget of memory and descriptors for each listener of a process

What callers saw: an edge, a store, a broker or a core ended, out of memory, or at once by a panic, and with it all their requests.

Cause: each connection had its own limit, nothing bounded their sum. The listeners for calls between processes had no limit at all: a Content-Length of 9e18 ended the process (makeslice panic), endless headers were collected.

Change: package budget. A quarter of limits.memory-mb (an eighth at a store) and parts of limits.max-fds are divided between the listeners; connections, growing headers and bodies, parsed fields, copies made while a request is handled, and responses are reserved before they are allocated. When a budget is exhausted, the connections that make the least progress are closed; a request that is handled is never broken off. What cannot be reserved is answered 503 without being run, or its connection is closed.

--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -31,6 +31,10 @@
 	return s.store.Configuration(ctx)
 }
 
+// StateBytes returns the size in bytes of the configuration and the placement that this
+// core knows.
+func (s *Server) StateBytes() int { return s.publication.documentBytes() }
+
 // RetireState returns the progress of the retirement of a store. The error is a
 // *RejectedError if the store is unknown or not being retired.
 func (s *Server) RetireState(ctx context.Context, name string) (string, error) {
--- a/internal/controlplane/publication.go
+++ b/internal/controlplane/publication.go
@@ -84,6 +84,17 @@
 	return true
 }
 
+// documentBytes returns the size in bytes of the newest known documents.
+func (p *publication) documentBytes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	for _, document := range p.documents {
+		size += len(document)
+	}
+	return size
+}
+
 // currentPlacement returns the newest placement that the tail is known to hold. The
 // caller must not modify it.
 func (p *publication) currentPlacement() placement.Placement {
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -18,6 +18,7 @@
 	"go.etcd.io/bbolt"
 
 	"saltreel/internal/boltstore"
+	"saltreel/internal/budget"
 	"saltreel/internal/chain"
 	"saltreel/internal/configstore"
 	"saltreel/internal/controller"
@@ -43,6 +44,7 @@
 	timing   timing
 	log      *log.Logger
 	network  httpwire.Network
+	budgets  budget.Listeners
 	address  string          // internal address
 	node     membership.Node // this core, as in its heartbeats; the disk is set by open
 
@@ -66,7 +68,7 @@
 // New makes a Server. Run opens the state on disk.
 func New(set *settings.Settings, network httpwire.Network, logger *log.Logger) (*Server, error) {
 	incarnation := rand.Text()
-	s := &Server{settings: set, timing: timing{set.ContactTimeout()}, log: logger, network: network, address: set.InternalAddress()}
+	s := &Server{settings: set, timing: timing{set.ContactTimeout()}, log: logger, network: network, budgets: budget.ForClients(set.Limits), address: set.InternalAddress()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.node = membership.Node{Name: set.NodeName, Role: "core", Address: s.address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation}
 	s.client = rpc.NewClient(&httpwire.Pool{Network: network})
@@ -182,6 +184,9 @@
 	return placement.Redundancy{Backups: int(t.HostFailures), Zones: int(t.Zones), Regions: int(t.RegionFailures)}
 }
 
+// ControlBudget returns the budget of the listener for handlers and the operator.
+func (s *Server) ControlBudget() *budget.Budget { return s.budgets.Clients }
+
 // goBackground runs a background task. Run cancels its context and waits for it before
 // returning.
 func (s *Server) goBackground(task func(ctx context.Context)) {
@@ -198,7 +203,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on the internal address: %w", err)
 	}
-	server := &httpwire.Server{Handle: s.mux().Handle}
+	server := rpc.NewServer(s.mux(), s.budgets.Internal, s.timing.contactTimeout)
 	s.goBackground(func(ctx context.Context) { _ = server.Serve(ctx, listener) })
 	s.goBackground(s.registry.RunLoader)
 	s.goBackground(s.chain.Run)
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -79,9 +79,13 @@
 	if request.Source == "" && request.Role == roleEdge && p.config.Warming != nil && p.config.Warming() {
 		timeutil.Sleep(ctx, p.config.BatchDelay)
 	}
-	return p.watch(ctx, &request, timer.C)
+	return p.watch(ctx, r, &request, timer.C)
 }
 
+// encodingCopies is how many times the size of a page encoding it takes: the buffer grows
+// while it is filled.
+const encodingCopies = 2
+
 func notUpToDate() *httpwire.Response {
 	return httpwire.Problem(503, "this node is not up to date itself")
 }
@@ -89,7 +93,7 @@
 // watch waits for events that the subscriber wants. Urgent events are sent at once,
 // together with any others. The others wait until the oldest of them is BatchDelay
 // old. When waitExpired fires, watch responds with the events at hand.
-func (p *Publisher) watch(ctx context.Context, request *WatchRequest, waitExpired <-chan time.Time) *httpwire.Response {
+func (p *Publisher) watch(ctx context.Context, r *httpwire.Request, request *WatchRequest, waitExpired <-chan time.Time) *httpwire.Response {
 	respondNow := false
 	for {
 		changed, urgentChange := p.config.Journal.Changes()
@@ -103,6 +107,9 @@
 			batchDue, changed = time.After(remaining), urgentChange
 		}
 		if respondNow || page.Source != request.Source {
+			if !r.ReserveResponse(encodingCopies * page.EncodedSize()) {
+				return httpwire.Unavailable()
+			}
 			return &httpwire.Response{Status: 200, Body: page.Encode()}
 		}
 		select {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"saltreel/internal/admission"
+	"saltreel/internal/budget"
 	"saltreel/internal/configuration"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/node"
@@ -20,6 +21,10 @@
 	"saltreel/internal/settings"
 )
 
+// forwardCopies is how many copies of the body of a message forwarding it needs: in the
+// body of the call to the store, and in the encoded request.
+const forwardCopies = 2
+
 // Edge is an edge process.
 type Edge struct {
 	set     *settings.Settings
@@ -75,14 +80,17 @@
 	}
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	publisher := e.node.Publisher()
-	internal := &httpwire.Server{Handle: rpc.Mux{"/news": publisher.Handle}.Handle}
-	clients := &httpwire.Server{Handle: e.handle, Limits: e.limits, OnPanic: e.answerPanic, ShutdownGracePeriod: e.timing.answerTimeout()}
+	budgets := budget.ForClients(e.set.Limits)
+	internal := rpc.NewServer(rpc.Mux{"/news": e.node.Publisher().Handle}, budgets.Internal, e.timing.contactTimeout)
+	clients := &httpwire.Server{
+		Handle: e.handle, Limits: e.limits, OnPanic: e.answerPanic, ShutdownGracePeriod: e.timing.answerTimeout(),
+		Budget: budgets.Clients, HandlingCopies: forwardCopies,
+	}
 	var tasks sync.WaitGroup
 	for _, task := range []func(){
 		func() { _ = internal.Serve(serving, listeners.Internal) },
 		func() { _ = clients.Serve(serving, listeners.Clients) },
-		func() { _ = platform.ServeReadiness(serving, listeners.Readiness, e.ready) },
+		func() { _ = platform.ServeReadiness(serving, listeners.Readiness, budgets.Readiness, e.ready) },
 		func() { e.node.Run(serving) },
 		func() { e.leases.Run(serving) },
 		func() { e.quotas.Reap(serving) },
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -19,6 +19,9 @@
 // message name refers to.
 var errUnknownPartition = errors.New("the partition of the message is not known here")
 
+// queryCopies is how many copies of a body are held while it is read from a store.
+const queryCopies = 2
+
 // answerQuery serves a query for the state (kind "status") or the body (kind "body")
 // of a message.
 func (e *Edge) answerQuery(ctx context.Context, r *httpwire.Request, table *configuration.Table, kind, name string) *httpwire.Response {
@@ -30,6 +33,9 @@
 	if !ok {
 		return httpwire.Problem(404, "no such message")
 	}
+	if kind == "body" && !r.ReserveResponse(queryCopies*e.limits().BodyBytes) {
+		return httpwire.Unavailable()
+	}
 	ctx, cancel := context.WithTimeout(ctx, e.timing.queryTimeout())
 	defer cancel()
 	answer, err := e.queryPrimary(ctx, "/"+kind, store.MessageQuery{Partition: partition, ID: id, Tenant: tenant, Host: r.Host})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"saltreel/internal/admission"
+	"saltreel/internal/budget"
 	"saltreel/internal/configuration"
 	"saltreel/internal/distribution"
 	"saltreel/internal/httpwire"
@@ -49,6 +50,7 @@
 	peers          peerGateways
 	leases         *ratelimit.Leases
 	quotas         *admission.Quotas
+	budgets        budget.Listeners
 	protocolErrors logLimiter
 
 	stopping       atomic.Bool   // new clients are not accepted
@@ -70,6 +72,7 @@
 		clients:        newClientTable(),
 		peers:          newPeerGateways(set.NodeName),
 		quotas:         admission.NewQuotas(set.ProcessorShare()),
+		budgets:        budget.ForClients(set.Limits),
 		controlChanged: make(chan struct{}, 1),
 	}
 	g.serving, g.stopServing = context.WithCancel(context.Background())
@@ -130,12 +133,12 @@
 	if err != nil {
 		return err
 	}
-	internal := &httpwire.Server{Handle: rpc.Mux{"/news": g.node.Publisher().Handle}.Handle}
+	internal := rpc.NewServer(rpc.Mux{"/news": g.node.Publisher().Handle}, g.budgets.Internal, g.timing.contact)
 	var tasks sync.WaitGroup
 	for _, task := range []func(){
 		func() { _ = internal.Serve(g.serving, listeners.Internal) },
 		func() { g.accept(listeners.Clients) },
-		func() { _ = platform.ServeReadiness(g.serving, listeners.Readiness, g.ready) },
+		func() { _ = platform.ServeReadiness(g.serving, listeners.Readiness, g.budgets.Readiness, g.ready) },
 		func() { g.node.Run(g.serving) },
 		func() { g.leases.Run(g.serving) },
 		func() { g.quotas.Reap(g.serving) },
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"saltreel/internal/budget"
 )
 
 // Bounds on what is read after the last response of a connection before it is
@@ -26,15 +28,19 @@
 	resume   <-chan struct{} // nil: reads are not paused
 	draining chan struct{}   // closed when the server shuts down
 	users    map[string]bool // at most two
+	account  *budget.Account
+	// responseBytes is what the current request has reserved for its response.
+	responseBytes int
 
 	cancelHandlers context.CancelFunc // cancels the context of its handlers; guarded by server.mu
 }
 
-func newConn(s *Server, conn net.Conn) *Conn {
+func newConn(s *Server, conn net.Conn, account *budget.Account) *Conn {
 	return &Conn{
 		Conn:     conn,
 		server:   s,
-		reader:   bufio.NewReaderSize(conn, bufferSize),
+		reader:   bufio.NewReaderSize(&countedReader{conn, account}, bufferSize),
+		account:  account,
 		draining: make(chan struct{}),
 	}
 }
@@ -64,8 +70,10 @@
 
 // serve handles requests until the connection ends.
 func (c *Conn) serve(ctx context.Context) {
-	w := bufio.NewWriterSize(c.Conn, bufferSize)
+	w := bufio.NewWriterSize(&countedWriter{c.Conn, c.account}, bufferSize)
+	c.account.SetEvictable()
 	for c.serveRequest(ctx, w) {
+		c.account.Reset()
 	}
 }
 
@@ -83,7 +91,7 @@
 		c.reject(w, err, limits)
 		return false
 	}
-	response := c.handle(ctx, request)
+	response := c.handlePinned(ctx, request)
 	if response == nil {
 		return false
 	}
@@ -98,6 +106,43 @@
 	return !last
 }
 
+// handlePinned handles a request and reserves the memory for doing so and for the
+// response. Meanwhile the connection is not closed in favor of others. It returns nil if
+// the connection is to be closed without a response.
+func (c *Conn) handlePinned(ctx context.Context, request *Request) *Response {
+	if !c.account.Pin() {
+		return nil
+	}
+	defer c.account.SetEvictable()
+	c.responseBytes = 0
+	if !c.account.Reserve(requestBytes + c.server.HandlingCopies*len(request.Body)) {
+		return Unavailable()
+	}
+	response := c.handle(ctx, request)
+	if response == nil || request.ReserveResponse(len(response.Body)) {
+		return response
+	}
+	if request.Method == http.MethodGet || request.Method == http.MethodHead {
+		return Unavailable()
+	}
+	return nil // the request may have had an effect, so no response may say that it had none
+}
+
+// ReserveResponse reserves the memory of the response to the request, if more is needed
+// than was reserved before. A handler calls it before it makes a large response. It
+// returns false if the memory is not available.
+func (r *Request) ReserveResponse(size int) bool {
+	if r.Conn == nil || r.Conn.account == nil || size <= bufferSize {
+		return true
+	}
+	missing := size - r.Conn.responseBytes
+	if missing <= 0 {
+		return true
+	}
+	r.Conn.responseBytes = size
+	return r.Conn.account.Reserve(missing)
+}
+
 // handle calls the handler, and OnPanic if the handler panics.
 func (c *Conn) handle(ctx context.Context, request *Request) (response *Response) {
 	if c.server.OnPanic != nil {
@@ -166,7 +211,7 @@
 		return
 	}
 	c.limitWrite(limits)
-	if Problem(rejected.status, rejected.reason).writeTo(w, true, true) != nil {
+	if rejected.response().writeTo(w, true, true) != nil {
 		return
 	}
 	c.lingeringClose()
--- a/internal/httpwire/parse.go
+++ b/internal/httpwire/parse.go
@@ -11,6 +11,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"saltreel/internal/budget"
 )
 
 // maxTrailers limits the number of trailer fields after a chunked body.
@@ -34,6 +36,13 @@
 
 func (r *rejectedError) Error() string { return r.reason }
 
+func (r *rejectedError) response() *Response {
+	if r == errMemory {
+		return Unavailable()
+	}
+	return Problem(r.status, r.reason)
+}
+
 func badRequest(reason string) error {
 	return &rejectedError{status: http.StatusBadRequest, reason: reason}
 }
@@ -42,6 +51,7 @@
 	errTooSlow = &rejectedError{http.StatusRequestTimeout, "the request came too slowly"}
 	errBody    = &rejectedError{http.StatusRequestEntityTooLarge, "the body is over the limit"}
 	errHeader  = &rejectedError{http.StatusRequestHeaderFieldsTooLarge, "the header is over the limit"}
+	errMemory  = &rejectedError{http.StatusServiceUnavailable, "no memory for the request"}
 )
 
 // readRequest reads one complete request.
@@ -52,10 +62,13 @@
 		headDeadline = received.Add(limits.HeaderTimeout)
 	}
 	c.limitRead(headDeadline)
-	head, err := readHead(c.reader, limits.HeaderBytes)
+	head, err := readHead(c.reader, limits.HeaderBytes, c.account)
 	if err != nil {
 		return nil, rejectTimeout(err)
 	}
+	if !c.account.Reserve(bytes.Count(head, []byte("\n")) * fieldBytes) {
+		return nil, errMemory
+	}
 	parsed, err := parseHead(head)
 	if err != nil {
 		return nil, err
@@ -69,7 +82,7 @@
 	if limits.BodyTimeout > 0 {
 		c.limitRead(time.Now().Add(limits.BodyTimeout))
 	}
-	body, err := readBody(c.reader, parsed, limits.BodyBytes)
+	body, err := readBody(c.reader, parsed, limits.BodyBytes, c.account)
 	if err != nil {
 		return nil, rejectTimeout(err)
 	}
@@ -88,22 +101,25 @@
 
 // readHead reads up to and including the empty line after the header. It skips empty
 // lines before the request line.
-func readHead(r *bufio.Reader, limit int) ([]byte, error) {
-	var head []byte
+func readHead(r *bufio.Reader, limit int, account *budget.Account) ([]byte, error) {
+	buffer := growingBuffer{account: account}
 	for {
 		line, err := r.ReadSlice('\n')
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
-		head = append(head, line...)
-		if limit > 0 && len(head) > limit {
+		if limit > 0 && len(buffer.bytes)+len(line) > limit {
 			return nil, errHeader
 		}
+		if !buffer.append(line) {
+			return nil, errMemory
+		}
+		head := buffer.bytes
 		if err != nil || !isEmptyLine(line) {
 			continue
 		}
 		if len(head) == len(line) {
-			head = head[:0]
+			buffer.bytes = head[:0]
 		} else if head[len(head)-len(line)-1] == '\n' { // otherwise line is the end of a line longer than the buffer
 			return head, nil
 		}
@@ -215,35 +231,41 @@
 }
 
 // readBody reads the body that the head declares, or returns nil if there is none.
-func readBody(r *bufio.Reader, head *http.Request, limit int) ([]byte, error) {
+func readBody(r *bufio.Reader, head *http.Request, limit int, account *budget.Account) ([]byte, error) {
 	if len(head.TransferEncoding) > 0 {
-		return readChunks(r, limit)
+		return readChunks(r, limit, account)
 	}
 	if head.ContentLength <= 0 {
 		return nil, nil
 	}
-	body := make([]byte, head.ContentLength)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	buffer := growingBuffer{account: account, limit: head.ContentLength}
+	if err := buffer.readAll(io.LimitReader(r, head.ContentLength)); err != nil {
+		return nil, err
+	}
+	if int64(len(buffer.bytes)) < head.ContentLength {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return buffer.bytes, nil
 }
 
 // readChunks reads a chunked body and discards its trailers.
-func readChunks(r *bufio.Reader, limit int) ([]byte, error) {
+func readChunks(r *bufio.Reader, limit int, account *budget.Account) ([]byte, error) {
 	chunks := httputil.NewChunkedReader(r)
 	if limit > 0 {
 		chunks = io.LimitReader(chunks, int64(limit)+1)
 	}
-	body, err := io.ReadAll(chunks)
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF) {
+	buffer := growingBuffer{account: account}
+	err := buffer.readAll(chunks)
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errMemory) {
 		return nil, err
 	}
 	if err != nil {
 		return nil, badRequest("the chunks cannot be read")
 	}
-	if limit > 0 && len(body) > limit {
+	if limit > 0 && len(buffer.bytes) > limit {
 		return nil, errBody
 	}
-	return body, skipTrailers(r)
+	return buffer.bytes, skipTrailers(r)
 }
 
 func skipTrailers(r *bufio.Reader) error {
--- a/internal/httpwire/parse_test.go
+++ b/internal/httpwire/parse_test.go
@@ -50,7 +50,7 @@
 		"a line longer than a buffer": {"GET / HTTP/1.1\r\n" + long + "\r\nnext", "GET / HTTP/1.1\r\n" + long + "\r\n", "next"},
 	} {
 		r := bufio.NewReaderSize(strings.NewReader(c.raw), bufferSize)
-		head, err := readHead(r, 0)
+		head, err := readHead(r, 0, nil)
 		rest, _ := io.ReadAll(r)
 		if err != nil || string(head) != c.want || string(rest) != c.rest {
 			t.Errorf("%s: read %q, left %q: %v", name, head, rest, err)
@@ -61,7 +61,7 @@
 	exact := "X: " + strings.Repeat("x", bufferSize-3) + "\r\n"
 	raw := "GET / HTTP/1.1\r\n" + exact + "\r\n"
 	r := bufio.NewReaderSize(strings.NewReader(raw), bufferSize)
-	if head, err := readHead(r, 0); err != nil || string(head) != raw {
+	if head, err := readHead(r, 0, nil); err != nil || string(head) != raw {
 		t.Errorf("read %d bytes of %d: %v", len(head), len(raw), err)
 	}
 }
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -29,6 +29,17 @@
 	return JSON(status, map[string]string{"error-text": reason})
 }
 
+// unavailableRetryAfter is the Retry-After time of Unavailable, in seconds.
+const unavailableRetryAfter = "1"
+
+// Unavailable returns the response to a request that was not executed and never will be,
+// because the process has no memory for it.
+func Unavailable() *Response {
+	response := Problem(http.StatusServiceUnavailable, "too many requests at once; this one was not executed")
+	response.Header = append(response.Header, "Retry-After", unavailableRetryAfter)
+	return response
+}
+
 // writeTo writes and flushes the response. The head is built in the buffer of w.
 func (r *Response) writeTo(w *bufio.Writer, last, withBody bool) error {
 	head := w.AvailableBuffer()
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -10,11 +10,16 @@
 	"net"
 	"sync"
 	"time"
+
+	"saltreel/internal/budget"
 )
 
 const (
 	// bufferSize is the size in bytes of a connection's read and write buffers.
 	bufferSize = 4096
+	// connectionBytes is what a connection without a request holds: its buffers, and the
+	// stack of its goroutine.
+	connectionBytes = 16 << 10
 	// acceptRetryDelay is the delay after a failed Accept, for instance because of
 	// too many open files.
 	acceptRetryDelay = 50 * time.Millisecond
@@ -27,7 +32,8 @@
 // must return immediately, with a response based on what is known by then.
 type Handler func(ctx context.Context, r *Request) *Response
 
-// Limits bounds what the server reads. Zero means no bound.
+// Limits bounds each request and each connection; Server.Budget bounds all of them
+// together. Zero means no bound.
 type Limits struct {
 	HeaderBytes, BodyBytes                  int
 	HeaderTimeout, IdleTimeout, BodyTimeout time.Duration
@@ -43,6 +49,11 @@
 	// panic terminates the process, which is needed where the handler may have left
 	// shared state inconsistent.
 	OnPanic func(r *Request, reason any) *Response
+	// Budget bounds the memory and the connections of the server; nil: no bounds.
+	Budget *budget.Budget
+	// HandlingCopies is how many further copies of the body of a request exist while it is
+	// handled, for instance encoded for a call to another process.
+	HandlingCopies int
 	// ShutdownGracePeriod is how long handlers may take to respond after the context
 	// of Shutdown has ended; 0: defaultShutdownGracePeriod.
 	ShutdownGracePeriod time.Duration
@@ -98,13 +109,19 @@
 	}
 }
 
-// track registers a new connection. If the server has stopped, it closes the
-// connection and returns nil.
+// track registers a new connection. If the server has stopped or its budget is
+// exhausted, it closes the connection and returns nil.
 func (s *Server) track(conn net.Conn) *Conn {
-	c := newConn(s, conn)
+	account := s.Budget.Open(connectionBytes, func() { closeConnection(conn) })
+	if account == nil {
+		closeConnection(conn)
+		return nil
+	}
+	c := newConn(s, conn, account)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
+		account.Close()
 		closeConnection(conn)
 		return nil
 	}
@@ -126,6 +143,7 @@
 	delete(s.conns, c)
 	s.mu.Unlock()
 	closeConnection(c)
+	c.account.Close()
 }
 
 // setCancelHandlers registers the cancel function of a connection's handlers, which
--- a/internal/journal/page.go
+++ b/internal/journal/page.go
@@ -32,6 +32,19 @@
 	return append(out, "]}"...)
 }
 
+// eventOverhead is an estimate of the encoded size in bytes of an event without its
+// value.
+const eventOverhead = 128
+
+// EncodedSize returns an estimate of the size in bytes of the encoded page.
+func (p Page) EncodedSize() int {
+	size := 0
+	for _, e := range p.Events {
+		size += eventOverhead + len(e.Key) + len(e.Value)
+	}
+	return size
+}
+
 // Oldest returns when the first event of the page was appended. The page must not be
 // empty.
 func (p Page) Oldest() time.Time { return p.Events[0].appended }
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -57,6 +57,8 @@
 	server := &httpwire.Server{
 		Handle:              core.ControlHandler(operatorServer.Handle),
 		Limits:              func() httpwire.Limits { return listenerLimits(set) },
+		Budget:              core.ControlBudget(),
+		HandlingCopies:      proposalCopies,
 		ShutdownGracePeriod: responseTimeout(set),
 	}
 	// The core keeps running after ctx ends, until the listener has shut down.
@@ -86,6 +88,10 @@
 	return err
 }
 
+// proposalCopies is how many copies of a configuration the request to change it needs:
+// decoded, in the call to the head of the chain, and in what the chain replicates.
+const proposalCopies = 3
+
 // listenerLimits bounds the resources that one connection may use. The timeouts are
 // multiples of contact-ms, like all timeouts within the system.
 func listenerLimits(set *settings.Settings) httpwire.Limits {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -25,6 +25,10 @@
 	retirePath        = "/v1/retire/" // followed by the name of the store
 )
 
+// readCopies is how many copies of the control state the response to a read needs: read
+// from the tail of the chain, decoded, and encoded.
+const readCopies = 3
+
 // Server serves the requests of the operator at one core.
 type Server struct{ Core *controlplane.Server }
 
@@ -33,6 +37,9 @@
 // if this one cannot.
 func (s *Server) Handle(ctx context.Context, r *httpwire.Request) *httpwire.Response {
 	write := r.Method != http.MethodGet
+	if !write && !r.ReserveResponse(readCopies*s.Core.StateBytes()) {
+		return httpwire.Unavailable()
+	}
 	if !s.Core.InContact() {
 		if target := s.Core.RedirectAddress(write); target != "" {
 			return redirect(target, r)
--- a/internal/platform/readiness.go
+++ b/internal/platform/readiness.go
@@ -5,15 +5,27 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/httpwire"
 )
 
+// readinessTimeout bounds how long a probe may take to send its request. The platform
+// counts a probe as failed long before.
+const readinessTimeout = 5 * time.Second
+
+// readinessLimits bounds the requests of the readiness probe, which have no body.
+func readinessLimits() httpwire.Limits {
+	return httpwire.Limits{HeaderBytes: 8 << 10, BodyBytes: 1, HeaderTimeout: readinessTimeout, BodyTimeout: readinessTimeout}
+}
+
 // ServeReadiness answers the readiness probe until ctx is canceled: 200 if ready
 // returns nil, otherwise 503 with the text of the error.
-func ServeReadiness(ctx context.Context, listener net.Listener, ready func() error) error {
+func ServeReadiness(ctx context.Context, listener net.Listener, b *budget.Budget, ready func() error) error {
 	server := &httpwire.Server{
-		Limits: func() httpwire.Limits { return httpwire.Limits{HeaderBytes: 8 << 10, BodyBytes: 1} },
+		Limits: readinessLimits,
+		Budget: b,
 		Handle: func(_ context.Context, r *httpwire.Request) *httpwire.Response {
 			if r.URL.Path != "/v1/readiness" || r.Method != http.MethodGet {
 				return httpwire.Problem(http.StatusNotFound, "only GET /v1/readiness is answered here")
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -96,16 +97,25 @@
 	dir           string
 	networkPrefix string // first three octets of the addresses
 	storage       string // parent of all data directories
+	configuration string // JSON
+	// settings are appended to those of each role. A line replaces an earlier one with the same
+	// name.
+	settings []string
 }
 
-var roleAddresses = map[string]int{"core": 1, "store": 2, "edge": 3}
+// roleAddresses holds the last octet of the address of each role. A cluster has either a store
+// and an edge, or a broker and a gateway.
+var roleAddresses = map[string]int{"core": 1, "store": 2, "broker": 2, "edge": 3, "gateway": 3}
 
 // newCluster returns a cluster without processes. The number selects a loopback
 // subnet that no other test uses.
 func newCluster(t *testing.T, number int) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	return &cluster{t: t, dir: dir, networkPrefix: fmt.Sprintf("127.71.%d", number), storage: newStorageDir(t)}
+	return &cluster{
+		t: t, dir: dir, networkPrefix: fmt.Sprintf("127.71.%d", number), storage: newStorageDir(t),
+		configuration: configurationJSON,
+	}
 }
 
 // tmpfsDir is the tmpfs mount point on Linux.
@@ -175,7 +185,7 @@
 timers.quota-allowance=20
 timers.origin-overshoot=1.1
 %[5]s
-`, role, c.networkPrefix, roleAddresses[role], c.dataPath(role), strings.Join(extra, "\n"))
+`, role, c.networkPrefix, roleAddresses[role], c.dataPath(role), strings.Join(slices.Concat(c.settings, extra), "\n"))
 	next := c.settingsPath(role) + ".new"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
@@ -238,7 +248,7 @@
 
 // putConfiguration uploads the configuration and reports whether the core accepted it.
 func (c *cluster) putConfiguration() bool {
-	request, err := http.NewRequest(http.MethodPut, "http://"+c.address("core", 8741)+"/v1/configuration", strings.NewReader(configurationJSON))
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.address("core", 8741)+"/v1/configuration", strings.NewReader(c.configuration))
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -261,6 +271,18 @@
 func (c *cluster) send(id string, wait time.Duration) int { return c.sendBody(id, "body of "+id, wait) }
 
 func (c *cluster) sendBody(id, body string, wait time.Duration) int {
+	status, _ := c.sendMessage(id, body, wait)
+	return status
+}
+
+// sendNamed sends a message and returns the name of the accepted message, or "" if it was not
+// accepted.
+func (c *cluster) sendNamed(id, body string, wait time.Duration) string {
+	_, name := c.sendMessage(id, body, wait)
+	return name
+}
+
+func (c *cluster) sendMessage(id, body string, wait time.Duration) (status int, name string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+c.address("edge", 8749)+"/x", strings.NewReader(body))
 	if err != nil {
 		c.t.Fatal(err)
@@ -271,10 +293,10 @@
 	request.Header.Set("Saltreel-Deadline-Ms", "60000")
 	response, err := httpClient(wait).Do(request)
 	if err != nil {
-		return 0
+		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
-	return response.StatusCode
+	return response.StatusCode, response.Header.Get("Saltreel-Message-Name")
 }
 
 // isReady reports whether the readiness probe of the edge succeeds.
@@ -375,9 +397,16 @@
 
 func (p *process) requireRunning() {
 	p.t.Helper()
+	p.checkRunning(p.t)
+}
+
+// checkRunning fails a test, which may be a subtest of the one that started the process, if the
+// process has exited.
+func (p *process) checkRunning(t *testing.T) {
+	t.Helper()
 	select {
 	case <-p.exited:
-		p.t.Fatalf("%s exited with %v:\n%s", p.role, p.err, p.log)
+		t.Fatalf("%s exited with %v:\n%s", p.role, p.err, p.log)
 	default:
 	}
 }
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -18,6 +18,7 @@
 	clusterInFlight
 	clusterStarting
 	clusterStderr
+	clusterCrowds // and the following ones, one for each listener
 )
 
 func TestSignalsWhileRunning(t *testing.T) {
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -5,13 +5,48 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/httpwire"
 )
 
 // Mux dispatches calls between Saltreel processes to handlers by path.
 type Mux map[string]httpwire.Handler
 
+// Limits of a call besides the budget of its server.
+const (
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes is the most that any call sends, if the budget has no bound: a
+	// configuration of the largest size that the operator may send, and what is sent
+	// with it.
+	maxBodyBytes = 16 << 20
+	// handlingCopies is how many copies of its body a call needs: the decoded form, and
+	// what is passed on to the next process.
+	handlingCopies = 2
+)
+
+// NewServer returns a server of the calls between Saltreel processes. A call that has
+// begun must be complete within a multiple of the contact timeout, which is longer than
+// any caller waits. Idle connections stay open, unless the budget needs them.
+func NewServer(calls Mux, b *budget.Budget, contactTimeout time.Duration) *httpwire.Server {
+	limits := httpwire.Limits{
+		HeaderBytes:   maxHeaderBytes,
+		BodyBytes:     maxBodyBytes,
+		HeaderTimeout: 2 * contactTimeout,
+		BodyTimeout:   2 * contactTimeout,
+	}
+	if most := b.MaxBytes(); most > 0 {
+		limits.BodyBytes = most
+	}
+	return &httpwire.Server{
+		Handle:         calls.Handle,
+		Limits:         func() httpwire.Limits { return limits },
+		Budget:         b,
+		HandlingCopies: handlingCopies,
+	}
+}
+
 // Handle handles one call and echoes its identifier in the response. It does not
 // run a call whose caller has closed the connection or timed out. The context of
 // the handler expires at the caller's timeout.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/distribution"
 	"saltreel/internal/httpwire"
 	"saltreel/internal/journal"
@@ -197,7 +198,7 @@
 	}
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	server := &httpwire.Server{Handle: s.calls().Handle}
+	server := rpc.NewServer(s.calls(), budget.ForStore(s.settings.Limits), s.settings.ContactTimeout())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = server.Serve(serving, listener) })
 	tasks.Go(func() { s.node.Run(serving) })
