gateway: bound the memory and descriptors of realtime clients together

What callers saw: a gateway ended, out of memory, or answered nobody.

Cause: each client had bounds (256 KiB queued, 256 messages a topic), their sum had none; SUBCOUNT started a goroutine and a connection to the broker for each command, PUBLISH one for each topic; topics that clients take and drop are followed for contact-ms, with their cached messages.

Change: queued data, subscriptions, followed topics with what is cached of them, pages of the backlog, and messages that no broker has stored yet are reserved in budgets. Clients that read nothing go first. A PUBLISH without memory gets UNKNOWN, which promises nothing; SUBSCRIBE and SUBCOUNT get RETRY: they were not executed. At most 64 SUBCOUNT are under way, and the calls to one broker on behalf of clients are bounded. What is not cached is read from the broker again; the model test of the feed now draws little memory as well. Each budget logs what it refuses.

--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -4,7 +4,7 @@
 
 // Account is what one connection holds of a Budget. The fields are guarded by the lock
 // of the budget. Its methods are safe for concurrent use. After it was evicted or closed,
-// nothing can be reserved.
+// nothing can be reserved. A nil Account has no bounds.
 type Account struct {
 	budget  *Budget // nil: no bounds
 	evict   func()
@@ -19,10 +19,10 @@
 // the whole budget but no more: whatever it needs beyond that is not counted, so that a
 // single request of any permitted size can be served.
 func (a *Account) Reserve(size int) bool {
-	b := a.budget
-	if b == nil {
+	if a == nil || a.budget == nil {
 		return true
 	}
+	b := a.budget
 	b.mu.Lock()
 	if a.closed {
 		b.mu.Unlock()
@@ -36,10 +36,10 @@
 	if ok {
 		a.held += size
 		b.bytes += size
-	} else {
-		b.statistics.Refusals++
 	}
+	report := b.pressure.record(len(victims), !ok)
 	b.mu.Unlock()
+	report()
 	closeAll(victims)
 	return ok
 }
@@ -83,7 +83,7 @@
 
 // Pin protects the connection from eviction. It returns false if it was evicted before.
 func (a *Account) Pin() bool {
-	open := a.budget == nil
+	open := a == nil || a.budget == nil
 	a.update(func(b *Budget) {
 		b.pinLocked(a)
 		open = true
@@ -99,10 +99,10 @@
 // update calls change with the lock of the budget, unless there are no bounds or the
 // account is closed.
 func (a *Account) update(change func(b *Budget)) {
-	b := a.budget
-	if b == nil {
+	if a == nil || a.budget == nil {
 		return
 	}
+	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !a.closed {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -17,17 +17,11 @@
 	maxBytes       int // 0: no bound
 	maxConnections int // 0: no bound
 
-	mu         sync.Mutex
-	bytes      int
-	accounts   int
-	evictable  list.List // of *Account, the least recently active one first
-	statistics Statistics
-}
-
-// Statistics counts what a Budget has refused.
-type Statistics struct {
-	Evictions int // connections closed in favor of others
-	Refusals  int // connections and reservations refused
+	mu        sync.Mutex
+	bytes     int
+	accounts  int
+	evictable list.List // of *Account, the least recently active one first
+	pressure  pressure
 }
 
 // New returns a budget. A bound of 0 means that there is none.
@@ -43,18 +37,6 @@
 	return b.maxBytes
 }
 
-// TakeStatistics returns the counts since the previous call.
-func (b *Budget) TakeStatistics() Statistics {
-	if b == nil {
-		return Statistics{}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	taken := b.statistics
-	b.statistics = Statistics{}
-	return taken
-}
-
 // Open returns the account of a new connection that holds size bytes for as long as it
 // is open, or nil if the budget is exhausted. evict closes the connection; it is called
 // at most once, without any lock, and must not wait. The connection cannot be evicted
@@ -71,10 +53,10 @@
 		a.held = size
 		b.bytes += size
 		b.accounts++
-	} else {
-		b.statistics.Refusals++
 	}
+	report := b.pressure.record(len(victims), !ok)
 	b.mu.Unlock()
+	report()
 	closeAll(victims)
 	if !ok {
 		return nil
@@ -103,7 +85,6 @@
 				continue
 			}
 			b.closeLocked(victim)
-			b.statistics.Evictions++
 			victims = append(victims, victim)
 		}
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -60,8 +60,8 @@
 	if refused := b.Open(10, func() {}); refused == nil || !other.closed || *evictions != 0 {
 		t.Error("a new connection must take the place of the one that can be evicted")
 	}
-	if got := b.TakeStatistics(); got.Evictions != 1 || got.Refusals != 1 {
-		t.Errorf("statistics %+v, want one eviction and one refusal", got)
+	if b.pressure.evictions != 1 || b.pressure.refusals != 1 {
+		t.Errorf("counted %d evictions and %d refusals, want one of each", b.pressure.evictions, b.pressure.refusals)
 	}
 }
 
@@ -82,6 +82,18 @@
 	}
 }
 
+// What is refused is logged, but not each time.
+func TestPressureIsLogged(t *testing.T) {
+	lines := 0
+	b := New(0, 1).logging("clients", func(string, ...any) { lines++ })
+	for range 10 {
+		opened(t, b)
+	}
+	if lines != 1 || b.pressure.evictions != 8 {
+		t.Errorf("%d log lines, %d evictions left to log; want 1 and 8", lines, b.pressure.evictions)
+	}
+}
+
 func TestNilBudgetHasNoBounds(t *testing.T) {
 	var b *Budget
 	a := b.Open(1<<40, func() { t.Error("evicted") })
@@ -146,7 +158,7 @@
 // The listeners of a process together stay below the limits of the process.
 func TestSharesOfAProcess(t *testing.T) {
 	limits := &settings.Limits{MemoryMb: 102, MaxFds: 512}
-	l := ForClients(limits)
+	l := ForClients(limits, nil)
 	bytes := l.Clients.maxBytes + l.Internal.maxBytes + l.Readiness.maxBytes
 	if most := 102 << 20 / peerMemoryDivisor; bytes > most {
 		t.Errorf("%d bytes for all listeners, want at most %d", bytes, most)
@@ -155,7 +167,7 @@
 	if most := 512 - reservedDescriptors; connections > most {
 		t.Errorf("%d descriptors, want at most %d", connections, most)
 	}
-	if unset := ForStore(&settings.Limits{}); unset.maxBytes != 0 || unset.maxConnections != 0 {
+	if unset := ForStore(&settings.Limits{}, nil); unset.maxBytes != 0 || unset.maxConnections != 0 {
 		t.Error("limits that are not set must not bound anything")
 	}
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -68,7 +68,7 @@
 // New makes a Server. Run opens the state on disk.
 func New(set *settings.Settings, network httpwire.Network, logger *log.Logger) (*Server, error) {
 	incarnation := rand.Text()
-	s := &Server{settings: set, timing: timing{set.ContactTimeout()}, log: logger, network: network, budgets: budget.ForClients(set.Limits), address: set.InternalAddress()}
+	s := &Server{settings: set, timing: timing{set.ContactTimeout()}, log: logger, network: network, budgets: budget.ForClients(set.Limits, logger.Printf), address: set.InternalAddress()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.node = membership.Node{Name: set.NodeName, Role: "core", Address: s.address, Zone: set.Zone, Region: set.Region, Incarnation: incarnation}
 	s.client = rpc.NewClient(&httpwire.Pool{Network: network})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,7 +80,7 @@
 	}
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	budgets := budget.ForClients(e.set.Limits)
+	budgets := budget.ForClients(e.set.Limits, e.log.Printf)
 	internal := rpc.NewServer(rpc.Mux{"/news": e.node.Publisher().Handle}, budgets.Internal, e.timing.contactTimeout)
 	clients := &httpwire.Server{
 		Handle: e.handle, Limits: e.limits, OnPanic: e.answerPanic, ShutdownGracePeriod: e.timing.answerTimeout(),
--- a/internal/gateway/backlog.go
+++ b/internal/gateway/backlog.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/linewire"
 	"saltreel/internal/partition"
 	"saltreel/internal/timeutil"
@@ -26,6 +28,7 @@
 	reading       bool
 	startReading  func(f *feed)
 	wake          chan struct{} // receives a value when there may be a page to read
+	account       *budget.Account
 }
 
 func newBacklog(startReading func(f *feed)) backlog {
@@ -43,6 +46,7 @@
 type page struct {
 	after, through partition.Position // contains all messages after the first position, up to the second
 	messages       []*message
+	reserved       int // bytes
 }
 
 // hasNext reports whether the page contains the messages that follow a position.
@@ -118,14 +122,20 @@
 		return false
 	})
 	if len(b.subscriptions) == 0 {
-		b.page = page{}
+		b.setPage(page{})
 	}
 	return next, len(b.subscriptions) > 0
 }
 
+// setPage replaces the page. Its memory was reserved.
+func (b *backlog) setPage(next page) {
+	b.account.Release(b.page.reserved)
+	b.page = next
+}
+
 // addPage stores the page read for a subscription. It rejects subscriptions whose missing
 // messages were deleted.
-func (f *feed) addPage(reader *subscription, after partition.Position, r *topic.ReadResponse) {
+func (f *feed) addPage(reader *subscription, after partition.Position, r *topic.ReadResponse, reserved int) {
 	b := &f.backlog
 	for _, s := range b.subscriptions {
 		if f.subscriptions[s] && r.Floor.After(s.cursor) {
@@ -133,7 +143,7 @@
 			s.client.reject(s, linewire.Expired)
 		}
 	}
-	b.page = page{after: after, through: r.End}
+	b.setPage(page{after: after, through: r.End, reserved: reserved})
 	for _, e := range r.Entries {
 		b.page.messages = append(b.page.messages, newMessage(e))
 		b.page.through = e.Position
@@ -160,6 +170,11 @@
 // maxPageBytes limits the messages of one page; a larger message is read on its own.
 const maxPageBytes = 64 << 10
 
+// pageCopies is how many times the size of a page reading it takes: as received, and as frames.
+const pageCopies = 2
+
+var errNoMemory = errors.New("no memory for a page of the backlog")
+
 // maxReads limits the concurrent page reads from one broker.
 const maxReads = 4
 
@@ -226,16 +241,21 @@
 		return ctx.Err()
 	}
 	defer func() { <-p.link.readSlots }()
+	reserved := pageCopies * p.request.MaxBytes
+	if !f.account.Reserve(reserved) {
+		return errNoMemory
+	}
 	var out topic.ReadResponse
 	raw, err := caller.call(ctx, p.link.store, p.address, topic.PathRead, h.timing.followTimeout(), p.request, nil, &out)
 	if err == nil {
 		_, err = topic.SetBodies(out.Entries, raw)
 	}
 	if err != nil {
+		f.account.Release(reserved)
 		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	f.addPage(p.reader, p.request.After, &out)
+	f.addPage(p.reader, p.request.After, &out, reserved)
 	return nil
 }
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -18,6 +18,38 @@
 	timing  timing
 	gateway string // name of this gateway
 	tasks   sync.WaitGroup
+
+	callsPerBroker int // limit of concurrent calls of callForClient to one broker
+	mu             sync.Mutex
+	slots          map[string]chan struct{} // by broker; semaphores for callForClient
+}
+
+// slotsOf returns the semaphore for the calls to a broker on behalf of clients.
+func (c *brokerCaller) slotsOf(store string) chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slots := c.slots[store]
+	if slots == nil {
+		if c.slots == nil {
+			c.slots = map[string]chan struct{}{}
+		}
+		slots = make(chan struct{}, c.callsPerBroker)
+		c.slots[store] = slots
+	}
+	return slots
+}
+
+// callForClient is like call, for a command of a client. The number of these calls to one
+// broker is limited, whatever clients send; ctx bounds the wait.
+func (c *brokerCaller) callForClient(ctx context.Context, store, address, path string, timeout time.Duration, in any, raw []byte, out any) ([]byte, error) {
+	slots := c.slotsOf(store)
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-slots }()
+	return c.call(ctx, store, address, path, timeout, in, raw, out)
 }
 
 // call makes one call and returns the raw bytes that follow the response. The request is
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/configuration"
 	"saltreel/internal/linewire"
 	"saltreel/internal/quota"
@@ -21,6 +22,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	outbox  *outbox
+	account *budget.Account
+	body    *budget.Account // of the message that is being read; nil if there is none
 
 	clientName string // empty before HELLO
 	secret     string
@@ -34,12 +37,30 @@
 	ended         bool
 }
 
+// Memory that a client takes besides the data that is queued for it.
+const (
+	// connectionBytes is what a connection takes: its buffers, and the stacks of its
+	// goroutines.
+	connectionBytes = 16 << 10
+	// subscriptionBytes is what a subscription takes besides the name of its topic.
+	subscriptionBytes = 512
+)
+
+// newClientConn returns the state of a new connection, or nil if there is no memory or no
+// descriptor for it.
 func newClientConn(g *Gateway, conn net.Conn) *clientConn {
+	account := g.budgets.Clients.Open(connectionBytes, func() { _ = conn.Close() })
+	if account == nil {
+		return nil
+	}
 	c := &clientConn{
-		gateway: g, conn: conn, reader: bufio.NewReader(conn),
+		gateway: g, conn: conn, reader: bufio.NewReader(conn), account: account,
 		closed: make(chan struct{}), subscriptions: map[string]*subscription{},
 	}
 	c.outbox = newOutbox(func() { g.hub.resumeBacklogs(c.currentSubscriptions()) })
+	c.outbox.account = account
+	c.outbox.onExhausted = func() { _ = conn.Close() } // the client comes back with its cursors
+	account.SetEvictable()
 	return c
 }
 
@@ -56,6 +77,8 @@
 	c.closeSubscriptions()
 	c.outbox.close()
 	writing.Wait()
+	_ = c.conn.Close()
+	c.account.Close()
 }
 
 // serveNext reads and handles one command. It reports whether to continue.
@@ -63,8 +86,12 @@
 	if c.conn.SetReadDeadline(time.Now().Add(c.gateway.timing.idleTimeout())) != nil {
 		return false
 	}
-	command, err := linewire.ReadCommand(c.reader)
+	command, err := linewire.ReadCommandIf(c.reader, c.admitBody)
+	defer c.releaseBody()
 	c.lastReceived.Store(int64(c.gateway.uptime()))
+	if c.outbox.isEmpty() { // whoever sends but does not read makes no progress
+		c.account.Touch()
+	}
 	var protocolErr *linewire.ProtocolError
 	switch {
 	case errors.As(err, &protocolErr):
@@ -79,6 +106,33 @@
 	return c.handle(ctx, command)
 }
 
+// publicationBytes is what a message that is not stored yet takes besides its body.
+const publicationBytes = 4 << 10
+
+// admitBody reserves the memory for a message before it is read. A message whose sender
+// stalls is given up in favor of others.
+func (c *clientConn) admitBody(size int) bool {
+	c.body = c.gateway.budgets.Publications.Open(size+publicationBytes, func() { _ = c.conn.Close() })
+	if c.body == nil {
+		return false
+	}
+	c.body.SetEvictable()
+	return true
+}
+
+// releaseBody returns the memory of a message that was not passed on.
+func (c *clientConn) releaseBody() {
+	c.body.Close()
+	c.body = nil
+}
+
+// takeBody returns the account of the message that was read, which whoever processes the
+// message closes. It returns false if the message was given up.
+func (c *clientConn) takeBody() (body *budget.Account, ok bool) {
+	body, c.body = c.body, nil
+	return body, body.Pin()
+}
+
 // handle handles one command. It reports whether to continue.
 func (c *clientConn) handle(ctx context.Context, command *linewire.Command) (more bool) {
 	if command.Verb == linewire.Ping {
@@ -145,7 +199,14 @@
 		}
 		s.resumes, s.cursor = true, cursor
 	}
+	if !c.account.Reserve(subscriptionCost(s.topic)) {
+		c.sendReject(command, linewire.Retry)
+		return
+	}
 	former, ok := c.addSubscription(s, int(table.Limits.GetSubscriptions()))
+	if !ok || former != nil {
+		c.account.Release(subscriptionCost(s.topic))
+	}
 	if !ok {
 		c.sendReject(command, linewire.Retry)
 		return
@@ -153,11 +214,16 @@
 	if former != nil {
 		c.gateway.hub.unsubscribe(former)
 	}
-	c.gateway.hub.subscribe(s)
+	if !c.gateway.hub.subscribe(s) {
+		c.reject(s, linewire.Retry)
+		return
+	}
 	// A configuration applied in the meantime did not cover this subscription.
 	c.gateway.reauthorize(s, c.secret)
 }
 
+func subscriptionCost(topic string) int { return subscriptionBytes + len(topic) }
+
 // addSubscription adds a subscription and returns the former one of the topic. It returns
 // false if the limit is reached or the connection has ended; a limit of 0 means no limit.
 func (c *clientConn) addSubscription(s *subscription, limit int) (former *subscription, ok bool) {
@@ -177,6 +243,7 @@
 	delete(c.subscriptions, command.Topic)
 	c.mu.Unlock()
 	if s != nil {
+		c.account.Release(subscriptionCost(s.topic))
 		c.gateway.hub.unsubscribe(s)
 	}
 	c.send(linewire.AppendUnsubscribeOK(nil, command.Topic))
@@ -188,7 +255,12 @@
 func (c *clientConn) handlePublish(ctx context.Context, command *linewire.Command, table *configuration.Table, space *configuration.Route) {
 	received := time.Now()
 	g := c.gateway
+	account, ok := c.takeBody()
+	if !ok {
+		return // the connection is closed
+	}
 	m := &publication{
+		account:     account,
 		number:      command.Number,
 		body:        command.Body,
 		retentionMs: int64(space.RetentionS * 1000),
@@ -240,7 +312,14 @@
 // the client.
 func (c *clientConn) handleCount(ctx context.Context, command *linewire.Command) {
 	g := c.gateway
+	select {
+	case g.counts <- struct{}{}:
+	default:
+		c.sendReject(command, linewire.Retry)
+		return
+	}
 	g.caller.tasks.Go(func() {
+		defer func() { <-g.counts }()
 		ctx, cancel := context.WithTimeout(ctx, g.timing.countTimeout())
 		defer cancel()
 		for ctx.Err() == nil {
@@ -278,6 +357,7 @@
 	c.mu.Lock()
 	if c.subscriptions[s.topic] == s {
 		delete(c.subscriptions, s.topic)
+		c.account.Release(subscriptionCost(s.topic))
 	}
 	c.mu.Unlock()
 	c.send(linewire.AppendReject(nil, linewire.Subscribe, s.topic, 0, reason))
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/linewire"
 	"saltreel/internal/partition"
 	"saltreel/internal/topic"
@@ -51,6 +52,7 @@
 	positionKnown bool                // position is valid
 	recent        recentMessages
 	backlog       backlog
+	account       *budget.Account // of the cached messages; nil: no bounds
 
 	subscriptions map[*subscription]bool
 	unusedSince   time.Time // when the last subscription ended
@@ -71,6 +73,14 @@
 	return &feed{topic: name, partition: number, backlog: newBacklog(startReading), subscriptions: map[*subscription]bool{}}
 }
 
+// useMemory sets the account of the messages that the feed caches. What it cannot cache is
+// read from the broker again.
+func (f *feed) useMemory(account *budget.Account) {
+	f.account = account
+	f.recent.account = account
+	f.backlog.account = account
+}
+
 // add adds a subscription, and activates it if the feed is live and has the messages that it
 // lacks. It reports whether the feed has to join now.
 func (f *feed) add(s *subscription) (join bool) {
@@ -160,7 +170,7 @@
 	}
 	f.recent.trim()
 	early := f.early
-	f.early, f.earlyLost = nil, false
+	f.clearEarly()
 	f.state = feedLive
 	for _, e := range early {
 		again = f.deliver(e) || again
@@ -184,7 +194,7 @@
 		}
 	}
 	if !f.positionKnown || from != f.position {
-		f.recent = recentMessages{trimmed: from}
+		f.recent.clear(from)
 	}
 	for _, e := range state.Entries {
 		f.recent.add(newMessage(e))
@@ -242,17 +252,24 @@
 }
 
 func (f *feed) bufferEarly(e topic.Entry) {
-	if len(f.early) == maxEarly {
+	if len(f.early) == maxEarly || !f.account.Reserve(len(e.Body)+frameOverhead) {
 		f.earlyLost = true
 		return
 	}
 	f.early = append(f.early, e)
 }
 
+func (f *feed) clearEarly() {
+	for _, e := range f.early {
+		f.account.Release(len(e.Body) + frameOverhead)
+	}
+	f.early, f.earlyLost = nil, false
+}
+
 // rejoin makes the feed join again, for example after its broker or the session changed.
 func (f *feed) rejoin() {
 	f.state = feedUnjoined
-	f.early, f.earlyLost = nil, false
+	f.clearEarly()
 }
 
 // message is a message of a topic, encoded for clients.
@@ -275,6 +292,7 @@
 	messages []*message
 	bytes    int
 	trimmed  partition.Position // all messages after this position are present
+	account  *budget.Account
 }
 
 // Limits of the recent messages of one topic.
@@ -283,7 +301,12 @@
 	maxRecentBytes    = 32 << 10
 )
 
+// add adds a message. If there is no memory for it, nothing is cached any more.
 func (r *recentMessages) add(m *message) {
+	if !r.account.Reserve(frameBytes(m.frame)) {
+		r.clear(m.position)
+		return
+	}
 	r.messages = append(r.messages, m)
 	r.bytes += len(m.frame)
 }
@@ -293,11 +316,20 @@
 	for len(r.messages) > maxRecentMessages || r.bytes > maxRecentBytes && len(r.messages) > 1 {
 		r.trimmed = r.messages[0].position
 		r.bytes -= len(r.messages[0].frame)
+		r.account.Release(frameBytes(r.messages[0].frame))
 		r.messages[0] = nil
 		r.messages = r.messages[1:]
 	}
 }
 
+// clear drops all messages; only those after a position will be present.
+func (r *recentMessages) clear(through partition.Position) {
+	for _, m := range r.messages {
+		r.account.Release(frameBytes(m.frame))
+	}
+	r.messages, r.bytes, r.trimmed = nil, 0, through
+}
+
 // isTrimmedAfter reports whether messages after a position may be missing.
 func (r *recentMessages) isTrimmedAfter(p partition.Position) bool { return r.trimmed.After(p) }
 
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/linewire"
 	"saltreel/internal/partition"
 	"saltreel/internal/topic"
@@ -269,7 +270,7 @@
 func (m *feedModel) read(messages int64) bool {
 	next, _ := m.feed.serveBacklog()
 	if next != nil {
-		m.feed.addPage(next, next.cursor, m.broker.read(next.cursor, messages))
+		m.feed.addPage(next, next.cursor, m.broker.read(next.cursor, messages), 0)
 		m.feed.serveBacklog()
 	}
 	return next != nil
@@ -296,6 +297,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		maxBacklog := rapid.IntRange(0, maxRecentMessages).Draw(t, "backlog")
 		m := &feedModel{broker: &modelBroker{maxBacklog: maxBacklog}, feed: newFeed("t", 0, ignoreBacklog)}
+		if rapid.Bool().Draw(t, "little memory") { // most of it is taken by other topics
+			const bytes = 1000
+			memory := budget.New(bytes, 0)
+			memory.Open(bytes-rapid.IntRange(0, 400).Draw(t, "free bytes"), func() {})
+			m.feed.useMemory(memory.Open(0, func() {}))
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": func(t *rapid.T) {
 				for range rapid.IntRange(1, maxRecentMessages).Draw(t, "messages") {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,8 @@
 	peers          peerGateways
 	leases         *ratelimit.Leases
 	quotas         *admission.Quotas
-	budgets        budget.Listeners
+	budgets        budget.Gateway
+	counts         chan struct{} // semaphore for concurrent SUBCOUNT commands
 	protocolErrors logLimiter
 
 	stopping       atomic.Bool   // new clients are not accepted
@@ -72,16 +73,18 @@
 		clients:        newClientTable(),
 		peers:          newPeerGateways(set.NodeName),
 		quotas:         admission.NewQuotas(set.ProcessorShare()),
-		budgets:        budget.ForClients(set.Limits),
+		budgets:        budget.ForGateway(set.Limits, logger.Printf),
+		counts:         make(chan struct{}, maxCounts),
 		controlChanged: make(chan struct{}, 1),
 	}
 	g.serving, g.stopServing = context.WithCancel(context.Background())
-	g.caller = &brokerCaller{node: g.node, timing: g.timing, gateway: set.NodeName}
+	g.caller = &brokerCaller{node: g.node, timing: g.timing, gateway: set.NodeName, callsPerBroker: budget.CallsPerBroker(set.Limits)}
 	g.hub = newHub(g.timing, g.node.Placement, logger, func(l *brokerLink) {
 		g.caller.tasks.Go(func() { l.run(g.serving, g.caller) })
 	}, func(f *feed) {
 		g.caller.tasks.Go(func() { g.hub.readBacklog(g.serving, g.caller, f) })
 	})
+	g.hub.topics = g.budgets.Topics
 	g.hub.linkBytesPerS = set.Limits.LinkSpeedMbps * 1e6 / 8
 	g.publishers = newPublishers(g.serving, g.hub, g.caller)
 	g.leases = ratelimit.NewLeases(g.node.Client, g.node.Placement, set.ContactTimeout())
@@ -177,6 +180,10 @@
 			continue
 		}
 		c := newClientConn(g, conn)
+		if c == nil {
+			_ = conn.Close()
+			continue
+		}
 		g.clients.add(c)
 		g.background.Go(func() { c.serve(g.serving) })
 	}
@@ -226,13 +233,16 @@
 	})
 }
 
+// maxCounts limits the concurrent SUBCOUNT commands. Further ones are rejected with RETRY.
+const maxCounts = 64
+
 // countSubscribers asks the broker of a topic for its number of subscribers.
 func (g *Gateway) countSubscribers(ctx context.Context, name string) (int, error) {
 	number := g.hub.partitionOf(name)
 	store, address := g.hub.primaryOf(number)
 	var out topic.CountResponse
 	request := topic.CountRequest{Topic: name, Partition: number}
-	_, err := g.caller.call(ctx, store, address, topic.PathCount, g.timing.countCallTimeout(), request, nil, &out)
+	_, err := g.caller.callForClient(ctx, store, address, topic.PathCount, g.timing.countCallTimeout(), request, nil, &out)
 	return out.Count, err
 }
 
--- a/internal/gateway/hub.go
+++ b/internal/gateway/hub.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/linewire"
 	"saltreel/internal/partition"
 	"saltreel/internal/placement"
@@ -20,6 +21,7 @@
 	startBacklogRead func(f *feed)               // starts reading the backlog of a feed
 	log              *log.Logger
 	linkBytesPerS    float64 // network link speed of this host; 0: unknown
+	topics           *budget.Budget
 
 	mu    sync.Mutex
 	feeds map[string]*feed       // by topic
@@ -33,19 +35,49 @@
 	}
 }
 
-// subscribe adds a subscription, which is acknowledged now or when the broker responds.
-func (h *hub) subscribe(s *subscription) {
+// subscribe adds a subscription, which is acknowledged now or when the broker responds. It
+// returns false if there is no memory for another topic.
+func (h *hub) subscribe(s *subscription) (ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := h.feeds[s.topic]
 	if f == nil {
-		f = newFeed(s.topic, h.partitionOf(s.topic), h.startBacklogRead)
-		h.feeds[s.topic] = f
-		h.assignLocked(f)
+		f = h.newFeedLocked(s.topic)
+		if f == nil {
+			return false
+		}
 	}
 	if f.add(s) {
 		f.link.join(f)
 	}
+	return true
+}
+
+// Memory that following a topic takes.
+const (
+	feedBytes = 2 << 10
+	// topicNameCopies is how many copies of the name of a topic exist: in the feed, in the
+	// calls to the broker, and in what the broker sends.
+	topicNameCopies = 4
+)
+
+// newFeedLocked starts to follow a topic, if need be in place of those without subscriptions.
+// It returns nil if there is no memory for it.
+func (h *hub) newFeedLocked(name string) *feed {
+	size := feedBytes + topicNameCopies*len(name)
+	account := h.topics.Open(size, func() {})
+	if account == nil {
+		h.dropUnusedLocked(0)
+		account = h.topics.Open(size, func() {})
+	}
+	if account == nil {
+		return nil
+	}
+	f := newFeed(name, h.partitionOf(name), h.startBacklogRead)
+	f.useMemory(account)
+	h.feeds[name] = f
+	h.assignLocked(f)
+	return f
 }
 
 // unsubscribe ends a subscription. Nothing more is sent for it.
@@ -141,10 +173,16 @@
 func (h *hub) dropUnused() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.dropUnusedLocked(h.timing.unusedFeedRetention())
+}
+
+// dropUnusedLocked stops following topics that have had no subscriptions for longer than age.
+func (h *hub) dropUnusedLocked(age time.Duration) {
 	for name, f := range h.feeds {
-		if len(f.subscriptions) == 0 && time.Since(f.unusedSince) > h.timing.unusedFeedRetention() {
+		if len(f.subscriptions) == 0 && time.Since(f.unusedSince) > age {
 			delete(h.feeds, name)
 			f.link.unfollow(f)
+			f.account.Close()
 		}
 	}
 }
--- a/internal/gateway/outbox.go
+++ b/internal/gateway/outbox.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"saltreel/internal/budget"
 )
 
 // Limits of the data queued for one client, in bytes.
@@ -31,7 +33,9 @@
 	waitingForRoom bool // a message was not queued since onRoom was last called
 	closing        bool // nothing more is queued; run returns when all is written
 	wake           chan struct{}
-	onRoom         func() // called without mu when there is room again
+	onRoom         func()          // called without mu when there is room again
+	account        *budget.Account // of the connection
+	onExhausted    func()          // called when no memory is left for a message; nil: not called
 }
 
 func newOutbox(onRoom func()) *outbox {
@@ -45,7 +49,7 @@
 	if o.closing {
 		return true
 	}
-	if o.queuedBytes+len(frame) > maxOutboxBytes {
+	if o.queuedBytes+len(frame) > maxOutboxBytes || !o.account.Reserve(frameBytes(frame)) {
 		return false
 	}
 	o.queueLocked(frame)
@@ -61,6 +65,12 @@
 		o.waitingForRoom = true
 		return false
 	}
+	if !o.account.Reserve(frameBytes(frame)) {
+		if o.onExhausted != nil {
+			o.onExhausted()
+		}
+		return false
+	}
 	o.queueLocked(frame)
 	return true
 }
@@ -91,6 +101,19 @@
 	o.wakeUp()
 }
 
+// frameBytes returns what a queued frame takes: its data, and its place in the queue.
+func frameBytes(frame []byte) int {
+	const queueEntryBytes = 48
+	return len(frame) + queueEntryBytes
+}
+
+// isEmpty reports whether the client has read all that was queued for it.
+func (o *outbox) isEmpty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queuedBytes == 0
+}
+
 func (o *outbox) wakeUp() {
 	select {
 	case o.wake <- struct{}{}:
@@ -158,6 +181,7 @@
 		if writeAll(conn, data, timeout) != nil {
 			return
 		}
+		o.releaseWritten(frames)
 		clear(frames)
 		spare = frames
 		if cap(buffer) > maxReusedBytes {
@@ -169,6 +193,16 @@
 	}
 }
 
+// releaseWritten returns the memory of frames that were written. The client has made progress.
+func (o *outbox) releaseWritten(frames [][]byte) {
+	written := 0
+	for _, frame := range frames {
+		written += frameBytes(frame)
+	}
+	o.account.Release(written)
+	o.account.Touch()
+}
+
 // appendFrames appends the frames to a buffer.
 func appendFrames(buffer []byte, frames [][]byte) []byte {
 	for _, frame := range frames {
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/configuration"
 	"saltreel/internal/linewire"
 	"saltreel/internal/timeutil"
@@ -18,6 +19,7 @@
 	body        []byte
 	tenant      string
 	retentionMs int64
+	account     *budget.Account // of the memory that the message takes; open until its outcome is known
 
 	respond  func(frame []byte) // sends the response; nil if the client does not wait for one
 	deadline time.Time          // deadline of the response
@@ -64,10 +66,12 @@
 		queue[i].reply(unknownFrame(from, m.number))
 		queue[i].respond, queue[i].deadline = m.respond, m.deadline
 		p.expireAtDeadline(from, queue[i])
+		m.account.Close()
 		return
 	}
 	if len(queue) >= maxQueued {
 		m.reply(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
+		m.account.Close()
 		return
 	}
 	p.queues[from] = append(queue, m)
@@ -164,6 +168,9 @@
 			done[m] = m.respond == nil && now.Sub(m.deadline) > p.hub.timing.retransmitWindow() || p.ctx.Err() != nil
 			undecided = undecided || !done[m]
 		}
+		if done[m] {
+			m.account.Close()
+		}
 	}
 	p.queues[from] = slices.DeleteFunc(p.queues[from], func(m *publication) bool { return done[m] })
 	return undecided
@@ -188,7 +195,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	go p.cancelOnPrimaryChange(ctx, cancel, number, store)
-	_, err := p.caller.call(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
+	_, err := p.caller.callForClient(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
 	if err == nil && len(out.Outcomes) == len(batch) {
 		return out.Outcomes
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -20,6 +20,7 @@
 	case p.refusals <- struct{}{}:
 	default:
 		m.reply(unknownFrame(from, m.number))
+		m.account.Close()
 		return
 	}
 	p.caller.tasks.Go(func() {
@@ -32,7 +33,9 @@
 			m.reply(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
 		default:
 			p.add(from, m)
+			return
 		}
+		m.account.Close()
 	})
 }
 
@@ -43,6 +46,6 @@
 	var out topic.RefuseResponse
 	ctx, cancel := context.WithTimeout(p.ctx, p.hub.timing.publishCallTimeout())
 	defer cancel()
-	_, err = p.caller.call(ctx, store, address, topic.PathRefuse, p.hub.timing.publishCallTimeout(), request, nil, &out)
+	_, err = p.caller.callForClient(ctx, store, address, topic.PathRefuse, p.hub.timing.publishCallTimeout(), request, nil, &out)
 	return out.Refused, err
 }
--- a/internal/handler/sink.go
+++ b/internal/handler/sink.go
@@ -6,10 +6,21 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
+	"saltreel/internal/budget"
 	"saltreel/internal/httpwire"
 )
 
+// Limits of a sink.
+const (
+	sinkMemory      = 64 << 20 // bytes
+	sinkConnections = 1024
+	sinkTimeout     = 30 * time.Second
+)
+
+var sinkLimits = httpwire.Limits{HeaderBytes: 64 << 10, BodyBytes: 16 << 20, HeaderTimeout: sinkTimeout, BodyTimeout: sinkTimeout}
+
 // Sink serves a handler for manual testing on addr until ctx ends: it prints every
 // message to out, and responds with a seal.
 func Sink(ctx context.Context, network httpwire.Network, addr string, out io.Writer) error {
@@ -17,9 +28,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for deliveries: %w", err)
 	}
-	server := &httpwire.Server{Handle: func(_ context.Context, r *httpwire.Request) *httpwire.Response {
-		return sinkResponse(r, out)
-	}}
+	server := &httpwire.Server{
+		Handle: func(_ context.Context, r *httpwire.Request) *httpwire.Response { return sinkResponse(r, out) },
+		Limits: func() httpwire.Limits { return sinkLimits },
+		Budget: budget.New(sinkMemory, sinkConnections),
+	}
 	return server.Serve(ctx, listener)
 }
 
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -12,8 +12,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"saltreel/internal/budget"
 )
 
 // serveRaw sends raw bytes to a server. It returns the status of each response and,
@@ -31,7 +29,7 @@
 	}
 	near, far := net.Pipe()
 	s.conns = map[*Conn]bool{}
-	c := newConn(s, far, (*budget.Budget)(nil).Open(0, nil))
+	c := newConn(s, far, nil)
 	done := make(chan struct{})
 	go func() {
 		c.serve(t.Context())
--- a/internal/linewire/command.go
+++ b/internal/linewire/command.go
@@ -77,6 +77,13 @@
 // ReadCommand reads the next client command. The error is a *ProtocolError or an error of the
 // connection.
 func ReadCommand(r *bufio.Reader) (*Command, error) {
+	return ReadCommandIf(r, func(int) bool { return true })
+}
+
+// ReadCommandIf is like ReadCommand, but calls admit with the size of a message body before
+// it is read. If admit returns false, the body is discarded and the command is rejected with
+// UNKNOWN: an earlier attempt of the same message may have been executed.
+func ReadCommandIf(r *bufio.Reader, admit func(size int) bool) (*Command, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return nil, err
@@ -97,7 +104,7 @@
 	case Ping:
 		return c, c.parse(fields, 0)
 	case Publish:
-		return c, c.readPublish(fields, r)
+		return c, c.readPublish(fields, r, admit)
 	}
 	return nil, &ProtocolError{Reason: Malformed, Fatal: true, Detail: "unknown command"}
 }
@@ -165,7 +172,7 @@
 
 // readPublish reads the fields and the body of a PUBLISH. An invalid body length is fatal
 // because the start of the next command is then unknown.
-func (c *Command) readPublish(fields []string, r *bufio.Reader) error {
+func (c *Command) readPublish(fields []string, r *bufio.Reader, admit func(size int) bool) error {
 	var number, length string
 	if err := c.parse(fields, 3, &c.Topic, &number, &length); err != nil {
 		return c.fatal("invalid PUBLISH fields")
@@ -174,7 +181,8 @@
 	if err != nil || size > maxSkippedBytes {
 		return c.fatal("invalid body length")
 	}
-	body, err := readBody(r, int(size))
+	admitted := size <= MaxBodyBytes && admit(int(size))
+	body, err := readBody(r, int(size), admitted)
 	if err != nil {
 		if errors.Is(err, errBodyTerminator) {
 			return c.fatal(err.Error())
@@ -189,6 +197,9 @@
 	if size > MaxBodyBytes {
 		return &ProtocolError{Verb: c.Verb, Topic: c.Topic, Number: c.Number, Reason: Oversize, Detail: "body too long"}
 	}
+	if !admitted {
+		return &ProtocolError{Verb: c.Verb, Topic: c.Topic, Number: c.Number, Reason: Unknown, Detail: "no memory for the body"}
+	}
 	c.Body = body
 	return nil
 }
@@ -201,9 +212,9 @@
 
 var errBodyTerminator = errors.New("body not terminated by CRLF")
 
-// readBody reads a body and its terminator. An oversized body is read and discarded.
-func readBody(r *bufio.Reader, size int) ([]byte, error) {
-	if size > MaxBodyBytes {
+// readBody reads a body and its terminator. A body that is not admitted is discarded.
+func readBody(r *bufio.Reader, size int, admitted bool) ([]byte, error) {
+	if !admitted {
 		if _, err := r.Discard(size); err != nil {
 			return nil, err
 		}
--- a/internal/linewire/response.go
+++ b/internal/linewire/response.go
@@ -109,6 +109,6 @@
 	if err != nil || size > MaxBodyBytes {
 		return fmt.Errorf("invalid body length %q in DELIVER", fields[4])
 	}
-	r.Body, err = readBody(reader, int(size))
+	r.Body, err = readBody(reader, int(size), true)
 	return err
 }
--- a/internal/processtest/limits_test.go
+++ b/internal/processtest/limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -106,3 +108,32 @@
 	t.Fatal("no peak memory in the status of the process")
 	return 0
 }
+
+// A single request of the largest permitted size is served on the smallest machine.
+func TestLargestRequestsAreServed(t *testing.T) {
+	c := newCluster(t, clusterLargest)
+	c.settings = limitedSettings()
+	core, _, edge := c.startAll()
+	monitors := []*resourceMonitor{monitorResources(core), monitorResources(edge)}
+	if status := c.sendBody("largest", strings.Repeat("x", clientBodyBytes), waitTimeout); status != http.StatusAccepted {
+		t.Errorf("message of the largest size: status %d", status)
+	}
+	chunked := c.newMessage("largest-chunked", struct{ io.Reader }{strings.NewReader(strings.Repeat("x", clientBodyBytes))})
+	chunked.Header.Set("Filler", strings.Repeat("x", headerBytes-512))
+	if response, err := httpClient(waitTimeout).Do(chunked); err != nil || response.StatusCode != http.StatusAccepted {
+		t.Errorf("chunked message of the largest size: %v, %v", response, err)
+	}
+	c.configuration = padded(strings.Replace(configurationJSON, `"revision":1`, `"revision":2`, 1), configurationBytes)
+	c.waitUntil("the largest configuration is accepted", func() bool { return c.putConfigurationOn("1") })
+	response, err := httpClient(waitTimeout).Get("http://" + c.address("core", portControl) + "/v1/configuration")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if got, err := io.ReadAll(response.Body); err != nil || string(got) != c.configuration {
+		t.Errorf("read %d bytes of the configuration of %d bytes: %v", len(got), len(c.configuration), err)
+	}
+	for _, m := range monitors {
+		m.check(t)
+	}
+}
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -247,13 +248,16 @@
 "tenant-table":[{"name":"example","api-keys":["example-key"],"priority":1}]}`
 
 // putConfiguration uploads the configuration and reports whether the core accepted it.
-func (c *cluster) putConfiguration() bool {
+func (c *cluster) putConfiguration() bool { return c.putConfigurationOn("0") }
+
+// putConfigurationOn is like putConfiguration for a configuration that builds on a revision.
+func (c *cluster) putConfigurationOn(revision string) bool {
 	request, err := http.NewRequest(http.MethodPut, "http://"+c.address("core", 8741)+"/v1/configuration", strings.NewReader(c.configuration))
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	request.Header.Set("If-Match", "0")
-	response, err := httpClient(time.Second).Do(request)
+	request.Header.Set("If-Match", revision)
+	response, err := httpClient(4 * time.Second).Do(request)
 	if err != nil {
 		return false
 	}
@@ -282,8 +286,9 @@
 	return name
 }
 
-func (c *cluster) sendMessage(id, body string, wait time.Duration) (status int, name string) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+c.address("edge", 8749)+"/x", strings.NewReader(body))
+// newMessage returns the request that sends a message to the edge.
+func (c *cluster) newMessage(id string, body io.Reader) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.address("edge", 8749)+"/x", body)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -291,7 +296,11 @@
 	request.Header.Set("Saltreel-Key", "example-key")
 	request.Header.Set("Saltreel-Attempt-Id", id)
 	request.Header.Set("Saltreel-Deadline-Ms", "60000")
-	response, err := httpClient(wait).Do(request)
+	return request
+}
+
+func (c *cluster) sendMessage(id, body string, wait time.Duration) (status int, name string) {
+	response, err := httpClient(wait).Do(c.newMessage(id, strings.NewReader(body)))
 	if err != nil {
 		return 0, ""
 	}
--- a/internal/processtest/signals_test.go
+++ b/internal/processtest/signals_test.go
@@ -18,6 +18,8 @@
 	clusterInFlight
 	clusterStarting
 	clusterStderr
+	clusterLargest
+	clusterSoak
 	clusterCrowds // and the following ones, one for each listener
 )
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -198,7 +198,7 @@
 	}
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
-	server := rpc.NewServer(s.calls(), budget.ForStore(s.settings.Limits), s.settings.ContactTimeout())
+	server := rpc.NewServer(s.calls(), budget.ForStore(s.settings.Limits, s.log.Printf), s.settings.ContactTimeout())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { _ = server.Serve(serving, listener) })
 	tasks.Go(func() { s.node.Run(serving) })
