httpwire: bound what a response of a handler takes

What callers saw: nothing yet; found by reading after the listeners. A handler is outside of the system too, and one that answers with an endless header or body would end a store.

Cause: the client side of httpwire read heads without a limit, and kept the body of each response, of which a delivery uses nothing.

Change: a head may have 256 KiB; a delivery reads the whole body, since only a complete response counts, and keeps none of it.

--- a/internal/handler/deliver.go
+++ b/internal/handler/deliver.go
@@ -59,6 +59,8 @@
 		Host:       d.Host,
 		Body:       d.Body,
 		EchoHeader: headerAttemptID,
+		// Only the status and the header of the response matter.
+		DiscardBody: true,
 		Header: []string{
 			headerAttemptID, d.ID,
 			headerDeadline, strconv.FormatInt(d.Timeout.Milliseconds(), 10),
--- a/internal/httpwire/call.go
+++ b/internal/httpwire/call.go
@@ -20,6 +20,8 @@
 	// have a length, and no bytes may follow it. Nil: Header holds the value.
 	NewID      func(ctx context.Context) string
 	Idempotent bool // may be retried when an idle connection breaks before any response
+	// DiscardBody makes the body of the response be read but not kept, whatever its size.
+	DiscardBody bool
 }
 
 // isInternal reports whether the call goes to another Saltreel process.
--- a/internal/httpwire/exchange.go
+++ b/internal/httpwire/exchange.go
@@ -76,7 +76,7 @@
 	if err := matchHead(call, id, response.Header, framed); err != nil {
 		return nil, &Error{Step: stepMatch, Sent: true, Err: err}
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := readResponseBody(call, response)
 	_ = response.Body.Close() // the body was read completely, or the error is reported
 	if err != nil {
 		return nil, &Error{Step: stepReadBody, Sent: true, Err: err}
@@ -95,6 +95,8 @@
 
 // readFinalHead skips 1xx responses and reads the head of the final response.
 func (c *clientConn) readFinalHead(method string) (*http.Response, error) {
+	c.head.limit(maxResponseHeadBytes)
+	defer c.head.unlimit()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= 200 {
@@ -103,6 +105,42 @@
 	}
 }
 
+func readResponseBody(call *Call, response *http.Response) ([]byte, error) {
+	if call.DiscardBody {
+		_, err := io.Copy(io.Discard, response.Body)
+		return nil, err
+	}
+	return io.ReadAll(response.Body)
+}
+
+// maxResponseHeadBytes bounds the head of a response, including any 1xx responses.
+const maxResponseHeadBytes = 256 << 10
+
+var errResponseHead = errors.New("the head of the response is too large")
+
+// headLimitedReader reads from a connection, and fails once more than the limit has been
+// read since limit was called.
+type headLimitedReader struct {
+	conn    io.Reader
+	limited bool
+	left    int
+}
+
+func (r *headLimitedReader) limit(bytes int) { r.limited, r.left = true, bytes }
+func (r *headLimitedReader) unlimit()        { r.limited = false }
+
+func (r *headLimitedReader) Read(b []byte) (int, error) {
+	if !r.limited {
+		return r.conn.Read(b)
+	}
+	if r.left <= 0 {
+		return 0, errResponseHead
+	}
+	n, err := r.conn.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 var errNoLength = errors.New("the response has no length")
 
 // matchHead checks that a response belongs to the call.
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -79,7 +79,8 @@
 		return nil, err
 	}
 	p.countOpen(addr, 1)
-	return &clientConn{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	head := &headLimitedReader{conn: conn}
+	return &clientConn{Conn: conn, head: head, reader: bufio.NewReaderSize(head, bufferSize)}, nil
 }
 
 // acquireIdle returns the most recently used idle connection, since the others are
@@ -179,6 +180,7 @@
 // clientConn is a connection of a pool.
 type clientConn struct {
 	net.Conn
+	head     *headLimitedReader // below reader
 	reader   *bufio.Reader
 	expires  time.Time // while idle; zero: never
 	reused   bool      // has carried a call
