gateway: answer UNKNOWN when the queue of a publisher is full

What callers saw: RETRY for a number whose earlier attempt may have been accepted, its answer lost. RETRY promises that it is not stored.

Cause: publishers.add refused a message that finds 256 others queued without asking the broker (docs/ROADMAP.md, Left over).

Change: UNKNOWN, which promises nothing; the client sends the number again. TestFullQueueGuaranteesNothing got RETRY before.

--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if len(queue) >= maxQueued {
-		m.reply(linewire.AppendReject(nil, linewire.Publish, from.topic, m.number, linewire.Retry))
+		m.reply(unknownFrame(from, m.number)) // an earlier attempt of the number may have been accepted
 		m.account.Close()
 		return
 	}
