--- a/internal/httpwire/parse.go
+++ b/internal/httpwire/parse.go
@@ -277,7 +277,7 @@
 		if len(line) <= 2 {
 			return nil
 		}
-		if n > maxTrailers {
+		if n == maxTrailers {
 			return badRequest("too many trailers")
 		}
 	}
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -72,6 +72,8 @@
 		"large body":             {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413, 0},
 		"large chunks":           {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("y", 65) + "\r\n0\r\n\r\n", 413, 0},
 		"slow body":              {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhi", 408, 0},
+		"most trailers":          {chunkedWithTrailers(maxTrailers), 200, 1},
+		"too many trailers":      {chunkedWithTrailers(maxTrailers + 1), 400, 0},
 		"no host":                {"GET /a HTTP/1.1\r\n\r\n", 400, 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -83,6 +85,10 @@
 	}
 }
 
+func chunkedWithTrailers(n int) string {
+	return "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("T: x\r\n", n) + "\r\n"
+}
+
 func TestPausedConnectionIsReadAfterResumeOrShutdown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var at []time.Duration
