--- a/internal/processtest/limits_test.go
+++ b/internal/processtest/limits_test.go
@@ -1,6 +1,7 @@
 package processtest
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -53,8 +54,11 @@
 	return m
 }
 
-func (m *resourceMonitor) path(name string) string {
-	return fmt.Sprintf("/proc/%d/%s", m.process.command.Process.Pid, name)
+func (m *resourceMonitor) path(name string) string { return m.process.procPath(name) }
+
+// procPath returns the path of a file of the process in /proc.
+func (p *process) procPath(name string) string {
+	return fmt.Sprintf("/proc/%d/%s", p.command.Process.Pid, name)
 }
 
 func (m *resourceMonitor) pollDescriptors() {
@@ -79,7 +83,10 @@
 	close(m.stop)
 	m.done.Wait()
 	m.process.checkRunning(t)
-	memory := m.peakMemoryMB(t)
+	memory, err := m.process.peakMemoryMB()
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Logf("%s: peak memory %d of %d MB, descriptors %d of %d", m.process.role, memory, limitedMemoryMB, m.descriptors, limitedDescriptors)
 	if memory > limitedMemoryMB {
 		t.Errorf("%s: peak memory %d MB, limits.memory-mb=%d", m.process.role, memory, limitedMemoryMB)
@@ -90,23 +97,18 @@
 }
 
 // peakMemoryMB returns the peak resident set size of the process.
-func (m *resourceMonitor) peakMemoryMB(t *testing.T) int {
-	t.Helper()
-	raw, err := os.ReadFile(m.path("status"))
+func (p *process) peakMemoryMB() (int, error) {
+	raw, err := os.ReadFile(p.procPath("status"))
 	if err != nil {
-		t.Fatal(err)
+		return 0, err
 	}
 	for line := range strings.Lines(string(raw)) {
 		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
 			kilobytes, err := strconv.Atoi(strings.Fields(value)[0])
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kilobytes >> 10
+			return kilobytes >> 10, err
 		}
 	}
-	t.Fatal("no peak memory in the status of the process")
-	return 0
+	return 0, errors.New("no peak memory in the status of the process")
 }
 
 // A single request of the largest permitted size is served on the smallest machine.
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -201,30 +201,39 @@
 func (c *cluster) start(role string, stderr *os.File) *process {
 	c.t.Helper()
 	c.writeSettings(role)
+	p := startProcess(c.t, role, c.settingsPath(role), stderr)
+	c.t.Cleanup(func() {
+		if c.t.Failed() {
+			c.t.Logf("log of %s:\n%s", role, p.log)
+		}
+	})
+	return p
+}
+
+// startProcess starts the process of a role with a settings file. The test kills it at its end.
+func startProcess(t *testing.T, role, settingsPath string, stderr *os.File) *process {
+	t.Helper()
 	program := "saltreel-data"
 	if role == "core" {
 		program = "saltreel-control"
 	}
-	p := &process{t: c.t, role: role, log: &logFile{}, exited: make(chan struct{})}
-	p.command = exec.Command(filepath.Join(buildBinaries(c.t), program), role)
-	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "SALTREEL_BOOT=" + c.settingsPath(role)}
+	p := &process{t: t, role: role, log: &logFile{}, exited: make(chan struct{})}
+	p.command = exec.Command(filepath.Join(buildBinaries(t), program), role)
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "SALTREEL_BOOT=" + settingsPath}
 	p.command.Stderr = p.log
 	if stderr != nil {
 		p.command.Stderr = stderr
 	}
 	if err := p.command.Start(); err != nil {
-		c.t.Fatal(err)
+		t.Fatal(err)
 	}
 	go func() {
 		p.err = p.command.Wait()
 		close(p.exited)
 	}()
-	c.t.Cleanup(func() {
+	t.Cleanup(func() {
 		_ = p.command.Process.Kill() // most tests have already terminated it
 		<-p.exited
-		if c.t.Failed() {
-			c.t.Logf("log of %s:\n%s", role, p.log)
-		}
 	})
 	return p
 }
