--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -41,15 +41,16 @@
 
 // callForClient is like call, for a command of a client. The number of these calls to one
 // broker is limited, whatever clients send; ctx bounds the wait.
-func (c *brokerCaller) callForClient(ctx context.Context, store, address, path string, timeout time.Duration, in any, raw []byte, out any) ([]byte, error) {
+func (c *brokerCaller) callForClient(ctx context.Context, store, address, path string, timeout time.Duration, in any, raw []byte, out any) error {
 	slots := c.slotsOf(store)
 	select {
 	case slots <- struct{}{}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	defer func() { <-slots }()
-	return c.call(ctx, store, address, path, timeout, in, raw, out)
+	_, err := c.call(ctx, store, address, path, timeout, in, raw, out)
+	return err
 }
 
 // call makes one call and returns the raw bytes that follow the response. The request is
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,7 +243,7 @@
 	store, address := g.hub.primaryOf(number)
 	var out topic.CountResponse
 	request := topic.CountRequest{Topic: name, Partition: number}
-	_, err := g.caller.callForClient(ctx, store, address, topic.PathCount, g.timing.countCallTimeout(), request, nil, &out)
+	err := g.caller.callForClient(ctx, store, address, topic.PathCount, g.timing.countCallTimeout(), request, nil, &out)
 	return out.Count, err
 }
 
--- a/internal/gateway/publish.go
+++ b/internal/gateway/publish.go
@@ -195,7 +195,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
 	go p.cancelOnPrimaryChange(ctx, cancel, number, store)
-	_, err := p.caller.callForClient(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
+	err := p.caller.callForClient(ctx, store, address, topic.PathPublish, timeout, request, bodies, &out)
 	if err == nil && len(out.Outcomes) == len(batch) {
 		return out.Outcomes
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -46,6 +46,6 @@
 	var out topic.RefuseResponse
 	ctx, cancel := context.WithTimeout(p.ctx, p.hub.timing.publishCallTimeout())
 	defer cancel()
-	_, err = p.caller.callForClient(ctx, store, address, topic.PathRefuse, p.hub.timing.publishCallTimeout(), request, nil, &out)
+	err = p.caller.callForClient(ctx, store, address, topic.PathRefuse, p.hub.timing.publishCallTimeout(), request, nil, &out)
 	return out.Refused, err
 }
--- a/internal/httpwire/memory_test.go
+++ b/internal/httpwire/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -69,7 +70,7 @@
 		if response, err := readStatus(t, other); err != nil || response.StatusCode != http.StatusOK {
 			t.Errorf("complete request: %+v, %v", response, err)
 		}
-		if _, err := stalled.Read(make([]byte, 1)); err != io.EOF {
+		if _, err := stalled.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("the stalled connection was not closed: %v", err)
 		}
 		closeConnection(other)
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -191,12 +191,17 @@
 timers.origin-overshoot=1.1
 %[5]s
 `, role, c.networkPrefix, roleAddresses[role], c.dataPath(role), strings.Join(slices.Concat(c.settings, extra), "\n"))
-	next := c.settingsPath(role) + ".new"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
-		c.t.Fatal(err)
+	replaceFile(c.t, c.settingsPath(role), text)
+}
+
+// replaceFile writes a file in one step.
+func replaceFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+		t.Fatal(err)
 	}
-	if err := os.Rename(next, c.settingsPath(role)); err != nil {
-		c.t.Fatal(err)
+	if err := os.Rename(path+".new", path); err != nil {
+		t.Fatal(err)
 	}
 }
 
--- a/internal/processtest/soak_events_test.go
+++ b/internal/processtest/soak_events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -141,10 +142,7 @@
 		return sendOpenBody(strings.Repeat("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n", pipelinedRequests), nil, "")(conn, client)
 	}}
 	ended := make(chan func(), 1)
-	address := net.JoinHostPort(n.ip, map[bool]string{true: "7100"}[port == portInternal])
-	if port != portInternal {
-		address = net.JoinHostPort(n.ip, map[int]string{portControl: "8741", portClients: "8749"}[port])
-	}
+	address := net.JoinHostPort(n.ip, strconv.Itoa(port))
 	go func() { ended <- c.run(address) }()
 	s.ends = append(s.ends, func() { (<-ended)() })
 }
--- a/internal/processtest/soak_fleet_test.go
+++ b/internal/processtest/soak_fleet_test.go
@@ -106,18 +106,7 @@
 timers.quota-allowance=20
 timers.origin-overshoot=1.1
 `, n.name, n.role, n.ip, zone, f.prefix, filepath.Join(f.dir, n.name), limitedMemoryMB, limitedDescriptors)
-	f.replaceFile(n.settings, text)
-}
-
-// replaceFile writes a file in one step.
-func (f *fleet) replaceFile(path, text string) {
-	f.t.Helper()
-	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
-		f.t.Fatal(err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		f.t.Fatal(err)
-	}
+	replaceFile(f.t, n.settings, text)
 }
 
 // touchSettings changes the settings file of a node without a change of the settings.
@@ -127,7 +116,7 @@
 		f.t.Fatal(err)
 	}
 	n.reloads++
-	f.replaceFile(n.settings, fmt.Sprintf("%s\nsome.later.field=%d\n", text, n.reloads))
+	replaceFile(f.t, n.settings, fmt.Sprintf("%s\nsome.later.field=%d\n", text, n.reloads))
 }
 
 func (f *fleet) start(n *node) {
