handler: bound the memory and connections of a sink

What callers saw: 'saltreel-data sink', the listener for trying deliveries, ended its machine's memory like the others.

Change: 16 MiB and 128 connections, the receive buffer counted as for other clients.

--- a/internal/handler/sink.go
+++ b/internal/handler/sink.go
@@ -14,8 +14,8 @@
 
 // Limits of a sink.
 const (
-	sinkMemory      = 64 << 20 // bytes
-	sinkConnections = 1024
+	sinkMemory      = 16 << 20 // bytes
+	sinkConnections = 128
 	sinkTimeout     = 30 * time.Second
 )
 
@@ -32,6 +32,10 @@
 		Handle: func(_ context.Context, r *httpwire.Request) *httpwire.Response { return sinkResponse(r, out) },
 		Limits: func() httpwire.Limits { return sinkLimits },
 		Budget: budget.New(sinkMemory, sinkConnections),
+
+		HandlingCopies: 1, // as printed
+		ReceiveBuffer:  httpwire.ClientReceiveBuffer,
+		Pipelining:     true,
 	}
 	return server.Serve(ctx, listener)
 }
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -95,6 +95,7 @@
 	portReadiness = 8747
 	portControl   = 8741
 	portInternal  = 7100
+	portSink      = 9090
 )
 
 // Sizes of request bodies in bytes.
@@ -123,6 +124,11 @@
 			unreadResponses("GET /v1/configuration", "", "", len(c.configuration)))
 	}},
 	{"core", "internal", portInternal, internalAnswers("core", "/ping"), internalCrowds},
+	{"sink", "deliveries", portSink, sinkAnswers, func(*cluster) []crowd {
+		return append(requestCrowds("POST /x", "Saltreel-Attempt-Id: crowd\r\n", clientBodyBytes),
+			completeRequests("POST /x", "Saltreel-Attempt-Id: crowd\r\n", strings.Repeat("x", clientBodyBytes)),
+			unreadResponses("GET /health", "", "", 200))
+	}},
 	{"gateway", "clients", portClients, gatewayAnswers, realtimeCrowds},
 	{"gateway", "readiness", portReadiness, (*cluster).isGatewayReady, func(*cluster) []crowd {
 		return append(requestCrowds("GET /v1/readiness", "", 1), unreadResponses("GET /v1/readiness", "", "", 200))
@@ -173,17 +179,28 @@
 
 // answers reports whether the cluster does what it is for: it stores a message.
 func (c *cluster) answers() bool {
-	if c.configuration == liveConfigurationJSON {
+	switch c.configuration {
+	case liveConfigurationJSON:
 		return gatewayAnswers(c)
+	case "": // a sink alone
+		return sinkAnswers(c)
 	}
 	return edgeAnswers(c)
 }
 
+func sinkAnswers(c *cluster) bool {
+	return isOK(httpClient(time.Second).Get("http://" + c.address("sink", portSink) + "/health"))
+}
+
 // startWith starts a cluster that has a process of the given role, and returns that process.
 func (c *cluster) startWith(role string) *process {
 	c.t.Helper()
-	if role == "gateway" || role == "broker" {
+	switch role {
+	case "gateway", "broker":
 		return c.startLive()[role]
+	case "sink":
+		c.configuration = ""
+		return startProcess(c.t, "sink", "", nil, c.address("sink", portSink))
 	}
 	c.configuration = largeConfiguration()
 	core, store, edge := c.startAll()
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -106,7 +106,7 @@
 
 // roleAddresses holds the last octet of the address of each role. A cluster has either a store
 // and an edge, or a broker and a gateway.
-var roleAddresses = map[string]int{"core": 1, "store": 2, "broker": 2, "edge": 3, "gateway": 3}
+var roleAddresses = map[string]int{"core": 1, "store": 2, "broker": 2, "edge": 3, "gateway": 3, "sink": 4}
 
 // newCluster returns a cluster without processes. The number selects a loopback
 // subnet that no other test uses.
@@ -220,14 +220,15 @@
 }
 
 // startProcess starts the process of a role with a settings file. The test kills it at its end.
-func startProcess(t *testing.T, role, settingsPath string, stderr *os.File) *process {
+// The arguments follow the role on the command line.
+func startProcess(t *testing.T, role, settingsPath string, stderr *os.File, arguments ...string) *process {
 	t.Helper()
 	program := "saltreel-data"
 	if role == "core" {
 		program = "saltreel-control"
 	}
 	p := &process{t: t, role: role, log: &logFile{}, exited: make(chan struct{})}
-	p.command = exec.Command(filepath.Join(buildBinaries(t), program), role)
+	p.command = exec.Command(filepath.Join(buildBinaries(t), program), append([]string{role}, arguments...)...)
 	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "SALTREEL_BOOT=" + settingsPath}
 	p.command.Stderr = p.log
 	if stderr != nil {
