--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,7 +20,10 @@
 
 type play func(c *cluster, trouble bool) verdict
 
-var plays = map[string]play{"accepted-twice": playAcceptedTwice}
+var plays = map[string]play{
+	"accepted-twice": playAcceptedTwice,
+	"order-split":    playOrderSplit,
+}
 
 func main() {
 	os.Exit(int(run2()))
