--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # nothing is disrupted. The record is written beside this file.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standin2 ] && [ -x target/saltreel-data ] && [ -x target/saltreel-control ] || exit 2
-exec target/standin2 order-split review/7
+exec target/standin2 accepted-twice review/7
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,7 @@
 
 var plays = map[string]play{
 	"accepted-twice": playAcceptedTwice,
-	"order-split":    playOrderSplit,
+	"gone-store":     playGoneStore,
 }
 
 func main() {
