partition, placement: partitions no longer wait for a removed store

Cause: a primary without backups needed no lease, so nobody could tell when it had stopped delivering, and the planner waited for its machine.

Change: an epoch with fewer backups than a message needs delivers nothing, as it accepts nothing. The last complete epoch decides: any stores that hold all accepted messages take over, whether the former primary returns or not. The successor fences its sources off from earlier epochs and waits for one lease. docs/incidents/removed-store.md has evidence, price and related paths.

--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -10,8 +10,23 @@
 )
 
 // HandleDigest lists the records that this store holds of a partition. It returns a
-// *NotPrimaryError if the partition is unknown here, or ErrWrongDisk.
-func (m *Manager) HandleDigest(_ context.Context, in *DigestRequest, _ []byte) (*DigestResponse, error) {
+// *NotPrimaryError if the partition is unknown here, ErrWrongDisk, or the error of ctx.
+func (m *Manager) HandleDigest(ctx context.Context, in *DigestRequest, _ []byte) (*DigestResponse, error) {
+	out, err := m.digest(in)
+	if err != nil || !in.Fence {
+		return out, err
+	}
+	onDisk := make(chan struct{})
+	m.storage.afterSync(func() { close(onDisk) })
+	select {
+	case <-onDisk:
+		return out, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (m *Manager) digest(in *DigestRequest) (*DigestResponse, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.hasPartitionLocked(in.Partition) {
@@ -23,7 +38,12 @@
 	p := m.partitions[in.Partition]
 	// The placement may arrive later than this request. A sender with a newer epoch is
 	// the primary of that epoch.
-	if in.From != "" && p.epoch < in.Epoch && m.leadsLocked(p) {
+	switch {
+	case in.From == "" || p.epoch >= in.Epoch:
+	case in.Fence: // this store may be a backup in the new epoch, which the placement says
+		m.applyAssignmentLocked(p, placement.Partition{Epoch: in.Epoch})
+		m.saveEpochsLocked()
+	case m.leadsLocked(p):
 		m.applyAssignmentLocked(p, placement.Partition{Epoch: in.Epoch, Primary: in.From})
 		m.saveEpochsLocked()
 	}
--- a/internal/partition/lease.go
+++ b/internal/partition/lease.go
@@ -6,6 +6,13 @@
 // "Leases", 1989), since any backup may become primary, even one that must first fetch
 // missing records from others. Each response to a batch grants a lease. A backup that
 // becomes primary waits until the lease that it granted has expired.
+//
+// In an epoch with fewer backups than a message needs, a primary does not deliver: its
+// leases would end with it and those few backups, and if none of them ever returned,
+// nobody could tell when another store may deliver. Such an epoch is incomplete; the
+// placement may replace all of its replicas (placement.Plan). A primary that was no
+// backup in the last complete epoch first fences off all stores from which it recovers:
+// they grant no lease in earlier epochs from then on. It then waits for one lease.
 
 // batchesPerIncarnation is the number of batch numbers available to one incarnation of a
 // sender. The numbers of an incarnation start at a random multiple of it.
@@ -40,6 +47,13 @@
 	}
 }
 
+// extend makes the lease of a former primary expire no earlier than the given time.
+func (l *grantedLease) extend(expires time.Time) {
+	if expires.After(l.expires) {
+		l.expires = expires
+	}
+}
+
 // end clears the lease of a former primary after this store itself was primary.
 func (l *grantedLease) end() { l.expires = time.Time{} }
 
@@ -50,14 +64,14 @@
 	if !m.isPrimaryLocked(n) {
 		return false
 	}
-	return m.partitions[n].mayDeliver(time.Now(), m.timing.deliveryMargin())
+	return m.partitions[n].mayDeliver(time.Now(), m.timing.deliveryMargin(), m.config.Backups)
 }
 
 // mayDeliver reports whether the primary may deliver: no handover has stopped its
-// deliveries, the lease that it granted before it became primary has expired, and each
-// backup has granted it a lease with more than margin left.
-func (p *partition) mayDeliver(now time.Time, margin time.Duration) bool {
-	if p.handover.deliveriesStopped || now.Before(p.granted.expires) {
+// deliveries, the leases of former primaries have expired, and each of at least
+// neededBackups backups has granted it a lease with more than margin left.
+func (p *partition) mayDeliver(now time.Time, margin time.Duration, neededBackups int) bool {
+	if p.handover.deliveriesStopped || now.Before(p.granted.expires) || len(p.replicas) < neededBackups {
 		return false
 	}
 	for _, r := range p.replicas {
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -42,6 +42,9 @@
 	Partition int    `json:"n"`
 	Epoch     int64  `json:"e"`
 	Disk      string `json:"disk,omitempty"` // identity of the receiving disk; empty for any
+	// Fence asks the receiver to accept nothing of earlier epochs any more, whatever its
+	// role in them, and to answer once this is on its disk.
+	Fence bool `json:"fence,omitempty"`
 }
 
 // DigestResponse lists the identifiers of the records by state.
--- a/internal/partition/recovery.go
+++ b/internal/partition/recovery.go
@@ -92,11 +92,12 @@
 	return true
 }
 
-// requestDigest asks a source which records it holds.
+// requestDigest asks a source which records it holds, and fences off the primaries of
+// earlier epochs there.
 func (m *Manager) requestDigest(n int, epoch int64, store placement.Store) (*DigestResponse, error) {
 	ctx, cancel := context.WithTimeout(m.background.ctx, m.timing.reconcileTimeout())
 	defer cancel()
-	request := DigestRequest{From: m.config.Self, Partition: n, Epoch: epoch, Disk: store.Disk}
+	request := DigestRequest{From: m.config.Self, Partition: n, Epoch: epoch, Disk: store.Disk, Fence: true}
 	var digest DigestResponse
 	if err := m.config.Client.Call(ctx, store.Address, "/digest", request, nil, &digest); err != nil {
 		return nil, err
@@ -181,6 +182,9 @@
 		return false
 	}
 	p.sources = nil
+	// The sources grant no lease in earlier epochs any more, and this store does not
+	// either. The last lease that one of them granted ends within one lease from now.
+	p.granted.extend(time.Now().Add(m.timing.lease()))
 	p.setReplicas(assignment.Backups, m.placement.Stores)
 	m.becomePrimaryLocked(p, assignment, former)
 	p.notifyChanged()
--- a/internal/partition/recovery_test.go
+++ b/internal/partition/recovery_test.go
@@ -101,3 +101,50 @@
 		}
 	}
 }
+
+// A store that was no backup of the former primary takes over only after the stores from
+// which it recovers have stopped granting leases, and delivers one lease later. Guards
+// against two primaries that deliver at the same time (docs/incidents/removed-store.md).
+func TestSuccessorFencesItsSourcesAndWaitsForOneLease(t *testing.T) {
+	source := startBackup(t)
+	batch := func(from string, epoch int64) PartitionResult {
+		t.Helper()
+		out, err := source.HandleBatch(t.Context(), &BatchRequest{From: from, Partitions: []PartitionBatch{{Epoch: epoch}}}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.Partitions[0]
+	}
+	if batch("other", 5).Stale {
+		t.Fatal("the source does not follow its primary")
+	}
+	if _, err := source.HandleDigest(t.Context(), &DigestRequest{From: "successor", Epoch: 7, Disk: source.DiskID(), Fence: true}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if !batch("other", 5).Stale || !batch("third", 6).Stale {
+		t.Error("the source grants a lease of an earlier epoch after it was read")
+	}
+	// The placement then makes it a backup of the successor.
+	assign(source, 2, placement.Partition{Epoch: 7, Primary: "successor", Backups: []placement.Backup{{Store: "me"}}})
+	if batch("successor", 7).Stale {
+		t.Error("the source does not follow the successor")
+	}
+}
+
+// A successor that recovers from its own disk alone waits as well: it may have granted a
+// lease just before.
+func TestRecoveredPrimaryWaitsForOneLease(t *testing.T) {
+	m := startBackup(t)
+	time.Sleep(m.timing.lease()) // of an earlier process of this store
+	assign(m, 2, placement.Partition{Epoch: 7, Primary: "me", Sources: []string{"me"}})
+	began := time.Now()
+	for !m.MayDeliver(0) {
+		if time.Since(began) > time.Minute {
+			t.Fatal("never delivers")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if waited := time.Since(began); waited < m.timing.lease()*9/10 {
+		t.Errorf("delivers after %v, less than a lease of %v", waited, m.timing.lease())
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -201,10 +201,11 @@
 // was not in sync, is its own source. The argument lists the available backups. The
 // successor is "" if there is none.
 //
-// Safety: the former primary may still be running but unreachable. It delivers only
-// while it holds leases from all its backups, so the successor must be one of them: a
-// backup waits until the lease that it granted has expired. Any store may succeed if the
-// disk of the former primary is lost, since its process has ended then.
+// Safety: the former primary may still be running but unreachable, whether or not it
+// ever comes back. It delivers only in an epoch with enough backups for a message to be
+// accepted, and while it holds leases from all of them. For each such epoch the returned
+// stores include one of its replicas, since together they hold every accepted message.
+// The successor fences them off from earlier epochs and then waits for one lease.
 func (p *planner) failoverSuccessor(partition *Partition, backups []Backup) (successor string, sources []string) {
 	for _, backup := range backups {
 		if backup.InSync {
@@ -215,16 +216,9 @@
 	if len(cover) == 0 {
 		return "", nil
 	}
-	last := cover[len(cover)-1] // holds the messages that were accepted last
-	switch {
-	case p.available(partition.Primary):
+	successor = cover[len(cover)-1] // holds the messages that were accepted last
+	if p.available(partition.Primary) {
 		successor = partition.Primary
-	case partition.BackupIndex(last) >= 0, p.diskLost(partition.Primary):
-		successor = last
-	case len(backups) > 0:
-		successor = backups[0].Store
-	default:
-		return "", nil
 	}
 	if len(cover) > 1 {
 		cover = slices.DeleteFunc(cover, func(name string) bool { return name == successor })
--- a/internal/placement/spans_test.go
+++ b/internal/placement/spans_test.go
@@ -42,7 +42,8 @@
 
 // Guards against the loss of messages that only former replicas still hold: when the disks
 // of all in-sync replicas are lost, the new primary has to copy from the remaining stores
-// that together hold everything (docs/incidents/overlapping-losses.md).
+// that together hold everything (docs/incidents/overlapping-losses.md). The same when the
+// machine of a primary without backups never comes back (docs/incidents/removed-store.md).
 func TestFormerReplicasAreSources(t *testing.T) {
 	for name, c := range map[string]struct {
 		redundancy Redundancy
@@ -77,6 +78,15 @@
 		"former primary may still run: a backup that granted it its lease succeeds": {
 			oneBackup, []failureStep{{crash: "a"}, {start: "a"}, {crash: "b"}}, "c", []string{"a"},
 		},
+		"primary without backups is gone for good: the former backup succeeds": {
+			oneBackup, []failureStep{{crash: "c"}, {crash: "d"}, {crash: "e"}, {crash: "b"}, {crash: "a"}, {start: "b"}, {start: "c"}}, "b", []string{"b"},
+		},
+		"two primaries without backups, one after the other, are gone for good": {
+			twoBackups, []failureStep{{crash: "d"}, {crash: "e"}, {crash: "c"}, {crash: "a"}, {crash: "b"}, {start: "c"}, {start: "d"}}, "c", []string{"c"},
+		},
+		"a backup that was being filled was lost too: the messages are on two stores": {
+			oneBackup, []failureStep{{crash: "d"}, {crash: "e"}, {crash: "b"}, {crash: "c"}, {crash: "a"}, {start: "b"}, {start: "c"}}, "c", []string{"b"},
+		},
 	} {
 		p := planThroughFailures(t, c.redundancy, c.steps).Partitions[0]
 		if p.Primary != c.primary || !slices.Equal(p.Sources, c.sources) {
