rpc, edge: a refusal of a second exchange is not that of the call

Cause: the pool sends /accept again when an idle connection breaks. The first exchange was stored; the second met the restarted store, which answered 421, and the response carried no trace of the first. edge.classifyAttempt took it for "certainly not accepted" and the edge chose another partition.

Change: ClientResponse.Resent; a status other than 2xx of a second exchange becomes a ResentError, which wraps no status, for all calls. The edge pins the partition. 409 is final only while no earlier attempt is unclear. Related paths: docs/incidents/refusal-of-a-second-exchange.md.

--- a/internal/controller/failures.go
+++ b/internal/controller/failures.go
@@ -139,7 +139,7 @@
 // isUnanswered reports whether a probe ended without any response from the host,
 // not even a refused connection.
 func isUnanswered(err error) bool {
-	return err != nil && rpc.StatusCode(err) == 0 && !httpwire.ConnectionRefused(err)
+	return err != nil && !rpc.Answered(err) && !httpwire.ConnectionRefused(err)
 }
 
 // beginProbe registers a probe of a node. It returns false if the node is already being
--- a/internal/edge/forward.go
+++ b/internal/edge/forward.go
@@ -108,7 +108,7 @@
 // request is no evidence of a failed primary, so it is not reported.
 func (e *Edge) handleFailure(ctx context.Context, f *forwarding, p *placement.Placement, target int, err error) error {
 	outcome := classifyAttempt(err)
-	if outcome == attemptIDConflict {
+	if outcome == attemptIDConflict && f.pinned == noPartition {
 		return errIDConflict
 	}
 	primary := p.Partitions[target].Primary
--- a/internal/edge/outcome.go
+++ b/internal/edge/outcome.go
@@ -116,11 +116,20 @@
 	case 503:
 		return attemptDeclined
 	case 0:
-		if httpwire.NotSent(err) {
-			return attemptNotSent
-		}
-		return attemptUnanswered
+		return classifyWithoutStatus(err)
 	default:
 		return attemptIndeterminate
 	}
 }
+
+// classifyWithoutStatus maps the error of an /accept call that has no status.
+func classifyWithoutStatus(err error) attemptOutcome {
+	switch {
+	case httpwire.NotSent(err):
+		return attemptNotSent
+	case rpc.Answered(err): // only the second exchange of a call that was sent twice
+		return attemptIndeterminate
+	default:
+		return attemptUnanswered
+	}
+}
--- a/internal/edge/outcome_test.go
+++ b/internal/edge/outcome_test.go
@@ -20,6 +20,14 @@
 	return fmt.Errorf("/accept: %w", &httpwire.Error{Step: "step", Sent: sent, Err: syscall.ECONNREFUSED})
 }
 
+// resentError returns the error of a call that was sent twice, and whose second exchange
+// the store answered with a status.
+func resentError(code int) error {
+	return &httpwire.Error{Step: "/accept", Sent: true, Err: &rpc.ResentError{Second: rpc.StatusError{Code: code, Text: "text"}}}
+}
+
+// Guards also against a message in two partitions: a refusal of the second exchange of a call
+// says nothing of the first one (docs/incidents/refusal-of-a-second-exchange.md).
 func TestClassifyAttempt(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -37,6 +45,9 @@
 		{"backups did not answer in time", statusError(504), attemptIndeterminate, false},
 		{"fault of the store", statusError(500), attemptIndeterminate, false},
 		{"a client error that no store gives", statusError(400), attemptIndeterminate, false},
+		{"sent twice, then not the primary", resentError(421), attemptIndeterminate, false},
+		{"sent twice, then no room or backups", resentError(503), attemptIndeterminate, false},
+		{"sent twice, then id of another tenant", resentError(409), attemptIndeterminate, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			outcome := classifyAttempt(test.err)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -64,7 +64,7 @@
 		defer suspectTimer.Stop()
 	}
 	rawOut, err := c.node.Client.CallRaw(callCtx, address, path, in, raw, out)
-	if err != nil && ctx.Err() == nil && rpc.StatusCode(err) == 0 { // no response
+	if err != nil && ctx.Err() == nil && !rpc.Answered(err) {
 		c.node.ReportFailure(store, httpwire.ConnectionRefused(err))
 	}
 	return rawOut, err
--- a/internal/httpwire/call.go
+++ b/internal/httpwire/call.go
@@ -77,6 +77,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Resent means that this is the response to a second exchange: the peer, or an
+	// earlier process at its address, may have executed the call before.
+	Resent bool
 }
 
 // Error is the error of a call, with the step that failed and the peer.
--- a/internal/httpwire/pool.go
+++ b/internal/httpwire/pool.go
@@ -37,6 +37,7 @@
 		response, began, err := c.exchange(ctx, call)
 		if err == nil {
 			p.release(addr, c, response)
+			response.Resent = sent
 			return response, nil
 		}
 		p.discard(addr, c)
--- a/internal/rpc/calls.go
+++ b/internal/rpc/calls.go
@@ -20,9 +20,10 @@
 const headerCall = "Call"
 
 // Idempotent holds the calls that the client may retry by itself when an idle
-// connection breaks before any response. docs/calls.md gives the reasons. Other
-// calls are retried only by their callers, which know that the outcome of the first
-// attempt is indeterminate.
+// connection breaks before any response. docs/calls.md gives the reasons. The two
+// exchanges may meet two processes, so a refusal of the second one says nothing of the
+// first: it is a ResentError. Other calls are retried only by their callers, which know
+// that the outcome of the first attempt is indeterminate.
 var Idempotent = map[string]bool{
 	"/accept":         true,
 	"/ballot":         true,
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -1,7 +1,6 @@
 package rpc
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -81,8 +80,8 @@
 
 // Call sends in as JSON, followed by raw on a new line unless raw is nil, and
 // decodes the JSON of the response into out unless out is nil. Errors are of type
-// *httpwire.Error, and wrap a *StatusError if the status of the response is not
-// 2xx.
+// *httpwire.Error. If the status of the response is not 2xx, they wrap a *StatusError,
+// or a *ResentError if the call was sent twice.
 func (c *Client) Call(ctx context.Context, addr, path string, in any, raw []byte, out any) error {
 	_, err := c.CallRaw(ctx, addr, path, in, raw, out)
 	return err
@@ -103,7 +102,7 @@
 		return nil, err
 	}
 	if response.Status/100 != 2 {
-		return nil, &httpwire.Error{Step: path, Peer: addr, Sent: true, Err: &StatusError{Code: response.Status, Text: string(bytes.TrimSpace(response.Body))}}
+		return nil, &httpwire.Error{Step: path, Peer: addr, Sent: true, Err: refusal(response)}
 	}
 	if out == nil {
 		return nil, nil
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -252,3 +252,45 @@
 		}
 	})
 }
+
+// Guards against a refusal that passes for that of the whole call: when the client has sent
+// a call twice, only the second exchange was refused, perhaps by another process than the
+// first one (docs/incidents/refusal-of-a-second-exchange.md).
+func TestRefusalOfASecondExchangeIsNotThatOfTheCall(t *testing.T) {
+	for _, status := range []string{"409 Conflict", "412 No", "421 No", "429 No", "503 No", "500 No"} {
+		synctest.Test(t, func(t *testing.T) {
+			client := newPeerClient(t, func(p *peer) {
+				p.read()
+				if p.connection == 1 {
+					p.respond(valid)
+					p.read() // breaks before its response
+					return
+				}
+				p.respond("HTTP/1.1 " + status + "\r\nCall: CALL-ID\r\nContent-Length: 0\r\n\r\n")
+			})
+			if err := call(t, client, "/accept"); err != nil {
+				t.Fatal(err)
+			}
+			err := call(t, client, "/accept")
+			if StatusCode(err) != 0 || !Answered(err) || httpwire.NotSent(err) {
+				t.Errorf("%s: status %d, answered %v: %v", status, StatusCode(err), Answered(err), err)
+			}
+		})
+	}
+}
+
+// A success of the second exchange is that of the call.
+func TestSuccessOfASecondExchangeIsThatOfTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := newPeerClient(t, func(p *peer) {
+			p.read()
+			p.respond(valid)
+			p.read() // breaks before its response
+		})
+		for range 2 {
+			if err := call(t, client, "/accept"); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
