cluster tests: the message search replaces stores and restarts them unseen

Both are drawn now in a third of the schedules with faults, after the former draws, so that those steps stay as they were; the removed machine stays away or comes back with its disk.

--- a/internal/cluster/message_search_checks_test.go
+++ b/internal/cluster/message_search_checks_test.go
@@ -9,17 +9,21 @@
 //   - not run: a message that is due was not delivered by the end of the schedule;
 //   - order: messages of one order key were not delivered one after another in the
 //     order in which they were accepted, or a configuration was not acknowledged;
-//   - twice: in a schedule without faults, a message was delivered more than once;
+//   - twice: in a schedule without faults, a message was delivered more than once, or a
+//     message that its client sent once is in two partitions;
 //   - grace: a graceful stop took longer than the grace period;
 //   - traffic: no message was accepted.
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"time"
+
+	"saltreel/internal/partition"
 )
 
 // queryMessages queries the status of accepted messages from random edges. Only messages
@@ -107,6 +111,43 @@
 	t.checkOrder()
 }
 
+// checkPartitions checks that each message that its client sent only once is in one
+// partition, since two partitions would both deliver it.
+func (t *messageTraffic) checkPartitions() {
+	m := t.maintenance
+	holders := t.partitionsOfMessages()
+	for _, a := range t.accepted {
+		if a.sentOnce && len(holders[a.id]) > 1 {
+			m.fail("twice", "%s, accepted as %s, is in the partitions %v", a.id, a.name, holders[a.id])
+		}
+	}
+}
+
+// partitionsOfMessages returns the partitions that hold each message, by the digests of
+// their primaries.
+func (t *messageTraffic) partitionsOfMessages() map[string][]int {
+	w, holders := t.maintenance.world, map[string][]int{}
+	status, err := w.status()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for n, placed := range status.Placement.Partitions {
+		var digest partition.DigestResponse
+		ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
+		err := w.client.Call(ctx, status.Placement.Stores[placed.Primary].Address, "/digest", partition.DigestRequest{Partition: n}, nil, &digest)
+		cancel()
+		if err != nil {
+			t.maintenance.fail("not run", "the primary of partition %d, %s, does not answer: %v", n, placed.Primary, err)
+		}
+		for _, state := range []partition.State{partition.Pending, partition.Complete, partition.DeadLetter} {
+			for _, id := range digest.IDs[state] {
+				holders[id] = append(holders[id], n)
+			}
+		}
+	}
+	return holders
+}
+
 // checkOrder checks that the delivery of each message of an order key starts after
 // that of the message accepted before it has ended.
 func (t *messageTraffic) checkOrder() {
--- a/internal/cluster/message_search_run_test.go
+++ b/internal/cluster/message_search_run_test.go
@@ -43,8 +43,9 @@
 	killSemaphore          chan struct{}            // serializes kills, each of which waits for the whole bubble (synctest.Wait)
 
 	mu        sync.Mutex
-	spares    []string // names of the machines that can replace a core
-	cores     []string // names of the active cores
+	spares    []string          // names of the machines that can replace a core
+	cores     []string          // names of the active cores
+	stores    map[string]string // name of the store of each zone
 	firstFail *violation
 	faulted   []*process // that were hit by a fault
 }
@@ -54,7 +55,7 @@
 	m := &maintenance{
 		world: newWorld(t, dir, 1, "10.1.0.1", "10.2.0.1", "10.3.0.1"), plan: plan, fault: fault,
 		storeSemaphore: make(chan struct{}, 1), coreSemaphore: make(chan struct{}, 1), configurationSemaphore: make(chan struct{}, 1), killSemaphore: make(chan struct{}, 1),
-		edgeSemaphores: map[string]chan struct{}{},
+		edgeSemaphores: map[string]chan struct{}{}, stores: map[string]string{},
 	}
 	w := m.world
 	w.restoresDefaultSIGHUP = fault.releasesSIGHUP
@@ -62,6 +63,9 @@
 		spare := "core-spare-" + z
 		w.machines[spare] = &machine{name: spare, role: "core", zone: z, ip: fmt.Sprintf("10.%d.0.4", i+1), dataPath: dir + "/" + spare, cancel: func() {}}
 		m.spares = append(m.spares, spare)
+		replacement := replacementOf(z)
+		w.machines[replacement] = &machine{name: replacement, role: "store", zone: z, ip: fmt.Sprintf("10.%d.0.5", i+1), dataPath: dir + "/" + replacement, cancel: func() {}}
+		m.stores[z] = "store-" + z
 		m.cores = append(m.cores, "core-"+z)
 		m.edgeSemaphores["edge-"+z] = make(chan struct{}, 1)
 		for j, role := range []string{"core", "store", "edge"} {
@@ -93,6 +97,7 @@
 	m.traffic.stop()
 	m.world.restoreLinks() // otherwise the queries take longer than outcomes are retained
 	m.traffic.checkFinalState()
+	m.traffic.checkPartitions()
 }
 
 func (m *maintenance) perform(s maintenanceStep) {
@@ -101,7 +106,7 @@
 	case rollEdge:
 		m.rollEdge("edge-" + zone)
 	case rollStore:
-		m.withSemaphore(m.storeSemaphore, func() { m.roll("store-" + zone) })
+		m.withSemaphore(m.storeSemaphore, func() { m.roll(m.storeIn(zone)) })
 	case rollCore:
 		m.withSemaphore(m.coreSemaphore, func() { m.roll(m.runningCore(s.machine)) })
 	case reload:
@@ -129,9 +134,9 @@
 	case killEdge:
 		m.withSemaphore(m.edgeSemaphores["edge-"+zone], func() { m.kill("edge-"+zone, s.duration, false) })
 	case killStore:
-		m.withSemaphore(m.storeSemaphore, func() { m.kill("store-"+zone, s.duration, false) })
+		m.withSemaphore(m.storeSemaphore, func() { m.kill(m.storeIn(zone), s.duration, false) })
 	case wipeStore:
-		m.withSemaphore(m.storeSemaphore, func() { m.kill("store-"+zone, s.duration, true) })
+		m.withSemaphore(m.storeSemaphore, func() { m.kill(m.storeIn(zone), s.duration, true) })
 	case killCore:
 		m.withSemaphore(m.coreSemaphore, func() { m.kill(m.runningCore(s.machine), s.duration, false) })
 	case killAllAtOnce:
@@ -140,12 +145,16 @@
 		m.withSemaphore(m.storeSemaphore, func() { m.kill(m.acceptingPrimary(), s.duration, true) })
 	case overlapLosses:
 		m.withSemaphore(m.storeSemaphore, func() { m.overlapLosses(s) })
+	case replaceStore:
+		m.withSemaphore(m.storeSemaphore, func() { m.replaceStore(s) })
+	case restartStoreUnseen:
+		m.withSemaphore(m.storeSemaphore, func() { m.withSemaphore(m.edgeSemaphores["edge-"+zone], func() { m.restartStoreUnseen(s, zone) }) })
 	case resetStoreConnections:
 		for name := range m.world.machines {
-			m.world.network.reset(m.world.machines["store-"+zone].ip, m.world.machines[name].ip)
+			m.world.network.reset(m.world.machines[m.storeIn(zone)].ip, m.world.machines[name].ip)
 		}
 	default:
-		m.withSemaphore(m.storeSemaphore, func() { m.partitionStore(s, "store-"+zone) })
+		m.withSemaphore(m.storeSemaphore, func() { m.partitionStore(s, m.storeIn(zone)) })
 	}
 }
 
@@ -195,7 +204,7 @@
 func (m *maintenance) killAll() {
 	var names []string
 	for _, z := range zones {
-		names = append(names, "store-"+z)
+		names = append(names, m.storeIn(z))
 	}
 	for _, c := range m.coreMachines() {
 		names = append(names, c.name)
@@ -227,7 +236,7 @@
 	status, err := m.world.status()
 	partition, numberErr := strconv.Atoi(number)
 	if err != nil || numberErr != nil || partition >= len(status.Placement.Partitions) {
-		return "store-" + zones[0]
+		return m.storeIn(zones[0])
 	}
 	return status.Placement.Partitions[partition].Primary
 }
@@ -288,13 +297,69 @@
 // the cluster tolerates.
 func (m *maintenance) overlapLosses(s maintenanceStep) {
 	var tasks sync.WaitGroup
-	tasks.Go(func() { m.kill("store-"+zones[s.machine], s.duration, false) })
+	tasks.Go(func() { m.kill(m.storeIn(zones[s.machine]), s.duration, false) })
 	time.Sleep(s.duration / 4)
-	tasks.Go(func() { m.kill("store-"+zones[(s.machine+1)%len(zones)], s.duration, true) })
+	tasks.Go(func() { m.kill(m.storeIn(zones[(s.machine+1)%len(zones)]), s.duration, true) })
 	tasks.Wait()
 	time.Sleep(recoveryTime)
 }
 
+// storeIn returns the name of the store of a zone.
+func (m *maintenance) storeIn(zone string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stores[zone]
+}
+
+// replacementOf returns the name of the machine that can replace the store of a zone.
+func replacementOf(zone string) string { return "store-replacement-" + zone }
+
+// replaceStore crashes the stores of the other zones, and while they are down replaces the
+// store of a zone by an empty machine at another address. The others restart with their
+// disks: one disk is lost, which the cluster tolerates. The machine that was replaced does
+// not come back, or only after the others have taken over, with its disk. Each store is
+// replaced only once.
+func (m *maintenance) replaceStore(s maintenanceStep) {
+	zone := zones[s.machine]
+	removed, replacement := m.storeIn(zone), replacementOf(zone)
+	if removed == replacement {
+		return
+	}
+	var others sync.WaitGroup
+	for _, z := range zones {
+		if z != zone {
+			others.Go(func() { m.kill(m.storeIn(z), s.duration, false) })
+		}
+	}
+	time.Sleep(s.duration / 3)
+	m.recordFaulted(removed)
+	m.withSemaphore(m.killSemaphore, func() { m.world.killMachine(removed) })
+	time.Sleep(s.duration / 3)
+	m.world.startMachine(replacement, false)
+	m.mu.Lock()
+	m.stores[zone] = replacement
+	m.mu.Unlock()
+	others.Wait()
+	time.Sleep(recoveryTime)
+	if s.duration.Milliseconds()%2 == 0 {
+		m.world.startMachine(removed, false)
+		time.Sleep(recoveryTime)
+	}
+}
+
+// restartStoreUnseen crashes and restarts the store of a zone while the edge there stands
+// still: the edge then finds its connections broken, and the restarted store listening.
+func (m *maintenance) restartStoreUnseen(s maintenanceStep, zone string) {
+	store, edge := m.storeIn(zone), "edge-"+zone
+	m.recordFaulted(store)
+	m.recordFaulted(edge)
+	downtime, afterStart := s.duration/40, s.duration%(8*time.Millisecond)
+	m.world.restartStoreWhileEdgeStandsStill(store, edge, downtime, afterStart, func() {
+		m.withSemaphore(m.killSemaphore, func() { m.world.killMachine(store) })
+	})
+	time.Sleep(recoveryTime)
+}
+
 // runningCore returns the name of an active core.
 func (m *maintenance) runningCore(n int) string {
 	m.mu.Lock()
--- a/internal/cluster/message_search_test.go
+++ b/internal/cluster/message_search_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -78,7 +79,9 @@
 	killAllAtOnce         // all stores and cores, which restart within a second
 	wipeAfterAccept       // the primary that has just accepted a message
 	overlapLosses         // a store is killed, and another one loses its disk before the first is back
-	maintenanceKindEnd
+	maintenanceKindEnd    // of the kinds that every step may have
+	replaceStore          // the other stores are killed, and one is replaced before they are back
+	restartStoreUnseen    // a store is killed and restarts while the edge of its zone stands still
 )
 
 func (k maintenanceKind) String() string {
@@ -88,7 +91,9 @@
 		killEdge: "kill an edge", killStore: "kill a store", killCore: "kill a core", isolateStore: "isolate a store", wipeStore: "wipe a store",
 		holdStoreTraffic: "hold the traffic of a store", partitionFromCores: "partition a store from the cores", partitionFromStores: "partition a store from the other stores",
 		resetStoreConnections: "reset the connections of a store", killAllAtOnce: "kill all stores and cores", wipeAfterAccept: "wipe the primary that accepted last",
-		overlapLosses: "kill a store and wipe the next one before it is back",
+		overlapLosses:      "kill a store and wipe the next one before it is back",
+		replaceStore:       "kill all stores but one and replace that one before they are back",
+		restartStoreUnseen: "kill and restart a store while the edge of its zone stands still",
 	}[k]
 }
 
@@ -130,16 +135,38 @@
 		if plan.withFaults && r.IntN(3) == 0 {
 			kind = killEdge + maintenanceKind(r.IntN(int(maintenanceKindEnd-killEdge)))
 		}
-		plan.steps = append(plan.steps, maintenanceStep{
-			kind:     kind,
-			delay:    time.Duration(r.IntN(3000)) * time.Millisecond,
-			machine:  r.IntN(len(zones)),
-			duration: time.Duration(500+r.IntN(3000)) * time.Millisecond,
-		})
+		plan.steps = append(plan.steps, drawStep(r, kind))
+	}
+	if !plan.withFaults {
+		return plan
+	}
+	if r.IntN(3) == 0 {
+		plan.steps = insertStep(r, plan.steps, replaceStore)
+	}
+	if r.IntN(3) == 0 {
+		for range 4 { // each hits only if messages are on their way
+			plan.steps = insertStep(r, plan.steps, restartStoreUnseen)
+		}
 	}
 	return plan
 }
 
+// insertStep inserts a step of a kind at a random position.
+func insertStep(r *rand.Rand, steps []maintenanceStep, kind maintenanceKind) []maintenanceStep {
+	at := r.IntN(len(steps) + 1)
+	return slices.Insert(steps, at, drawStep(r, kind))
+}
+
+// drawStep returns a step of a kind.
+func drawStep(r *rand.Rand, kind maintenanceKind) maintenanceStep {
+	return maintenanceStep{
+		kind:     kind,
+		delay:    time.Duration(r.IntN(3000)) * time.Millisecond,
+		machine:  r.IntN(len(zones)),
+		duration: time.Duration(500+r.IntN(3000)) * time.Millisecond,
+	}
+}
+
 // maintenanceFault selects the faults that are planted to test whether the search
 // detects them.
 type maintenanceFault struct {
--- a/internal/cluster/message_search_traffic_test.go
+++ b/internal/cluster/message_search_traffic_test.go
@@ -28,6 +28,7 @@
 type acceptedMessage struct {
 	id, name, body string
 	at             time.Time
+	sentOnce       bool // the client sent it only once
 }
 
 // messageTraffic runs the clients and handlers of the message search and records
@@ -151,6 +152,7 @@
 func (t *messageTraffic) recordAccepted(a acceptedMessage, body string, known bool) {
 	if known {
 		a.body = body
+		a.sentOnce = true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
