soak: replaces stores and restarts them unseen by an edge

The soak killed stores within bounds and never removed one, and asked no store where a message lies. It now replaces one store in a run while all others are down, restarts stores while an edge of their zone is suspended, in series that overlap with the other events, and checks by the stores' digests that each message is in one partition. Unused names are removed.

--- a/internal/processtest/soak_events_test.go
+++ b/internal/processtest/soak_events_test.go
@@ -8,14 +8,13 @@
 	"time"
 )
 
-const signalStop = syscall.SIGTERM
-
 // soak draws the faults of one seed.
 type soak struct {
-	fleet   *fleet
-	traffic *traffic
-	counts  map[string]int
-	ends    []func() // close the connections of the crowds
+	fleet  *fleet
+	counts map[string]int
+	ends   []func() // close the connections of the crowds
+	// replaced reports that a store was replaced. It loses a disk, so it happens once in a run.
+	replaced bool
 }
 
 // event is a kind of fault or of planned work. A series of it may strike several nodes, and
@@ -27,22 +26,24 @@
 }
 
 var events = []event{
-	{"stop", 24, func(_ *soak, n *node) {
+	{"stop", 22, func(_ *soak, n *node) {
 		n.stopping = true
-		n.signal(signalStop)
+		n.signal(syscall.SIGTERM)
 	}},
 	{"kill", 12, func(_ *soak, n *node) {
 		n.killed = true
 		n.signal(syscall.SIGKILL)
 	}},
 	{"reload", 16, func(_ *soak, n *node) { n.signal(syscall.SIGHUP) }},
-	{"change of the settings file", 10, func(s *soak, n *node) { s.fleet.touchSettings(n) }},
+	{"restart of a store unseen by an edge", 6, (*soak).restartUnseen},
+	{"replacement of a store while the others are down", 3, (*soak).replaceStore},
+	{"change of the settings file", 7, func(s *soak, n *node) { s.fleet.touchSettings(n) }},
 	{"suspension", 10, func(_ *soak, n *node) {
 		n.suspended = true
 		n.signal(syscall.SIGSTOP)
 	}},
-	{"configuration", 14, func(s *soak, _ *node) { s.fleet.changeConfiguration() }},
-	{"crowd", 14, (*soak).startCrowd},
+	{"configuration", 12, func(s *soak, _ *node) { s.fleet.changeConfiguration() }},
+	{"crowd", 12, (*soak).startCrowd},
 }
 
 // Shape of the schedule.
@@ -52,6 +53,12 @@
 	// maxDown bounds the nodes of a role that are not up at once, in percent, so that there is
 	// some service.
 	maxDown = 50
+	// maxUnseenDown is how long a store may be down while an edge stands still. A call to the
+	// store must not time out meanwhile.
+	maxUnseenDown = 150 * time.Millisecond
+	// replacementDelay is how long the other stores are down before one is removed: the
+	// controller has noticed it by then.
+	replacementDelay = 1500 * time.Millisecond
 )
 
 // run applies events for some time. A process that has exited is started again, as the platform
@@ -62,7 +69,8 @@
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		kind := s.drawEvent()
 		for range 1 + rng.IntN(maxSeries) {
-			n := s.fleet.nodes[rng.IntN(len(s.fleet.nodes))]
+			nodes := s.fleet.present()
+			n := nodes[rng.IntN(len(nodes))]
 			if !s.mayStrike(kind.name, n) {
 				continue
 			}
@@ -108,7 +116,7 @@
 
 // recoverNodes resumes some suspended processes and starts those that have exited.
 func (s *soak) recoverNodes() {
-	for _, n := range s.fleet.nodes {
+	for _, n := range s.fleet.present() {
 		if n.suspended && s.fleet.rng.IntN(2) == 0 {
 			s.fleet.resume(n)
 		}
@@ -126,6 +134,55 @@
 	}
 }
 
+// restartUnseen kills a store and starts it again while an edge of its zone stands still. The
+// edge then finds its connections broken and the store listening.
+func (s *soak) restartUnseen(struck *node) {
+	f := s.fleet
+	store, edge := f.anyIn(struck.zone, "store"), f.anyIn(struck.zone, "edge")
+	if store == nil || edge == nil {
+		return
+	}
+	s.counts["restart of a store unseen by an edge: carried out"]++
+	edge.signal(syscall.SIGSTOP)
+	f.kill(store)
+	time.Sleep(time.Duration(f.rng.Int64N(int64(maxUnseenDown))))
+	f.start(store)
+	f.waitUntilListening(store)
+	edge.signal(syscall.SIGCONT)
+}
+
+// replaceStore kills all stores but one, and while they are down replaces that one by an empty
+// machine at another address. The others keep their disks, so one disk is lost.
+func (s *soak) replaceStore(*node) {
+	f := s.fleet
+	removed := f.anyIn(f.replacement.zone, "store")
+	if s.replaced || removed == nil {
+		return
+	}
+	s.replaced = true
+	s.counts["replacement of a store while the others are down: carried out"]++
+	var others []*node
+	for _, n := range f.ofRole("store") {
+		f.resume(n)
+		if n != removed {
+			others = append(others, n)
+			n.killed = true
+			n.signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(replacementDelay)
+	f.kill(removed)
+	removed.absent = true
+	f.removeData(removed)
+	time.Sleep(time.Duration(f.rng.Int64N(int64(replacementDelay))))
+	f.replacement.absent = false
+	f.start(f.replacement)
+	for _, n := range others {
+		<-n.process.exited
+		f.start(n)
+	}
+}
+
 // startCrowd opens connections to a listener of a node, with requests that are never complete.
 func (s *soak) startCrowd(n *node) {
 	port := map[string]int{"core": portControl, "store": portInternal, "edge": portClients}[n.role]
--- a/internal/processtest/soak_fleet_test.go
+++ b/internal/processtest/soak_fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,7 +21,9 @@
 // node is a machine of a fleet with one process.
 type node struct {
 	role, name, ip string
+	zone           int
 	settings       string // path
+	absent         bool   // the machine was removed, or was not added yet
 	process        *process
 	stopping       bool // SIGTERM was sent to the process
 	killed         bool // SIGKILL was sent to the process
@@ -44,6 +47,8 @@
 	nodes    []*node
 	revision int // newest that was acknowledged
 	sent     int // newest that was sent
+	// replacement is the machine that can replace a store of its zone. It is absent before.
+	replacement *node
 }
 
 // newFleet returns a fleet without processes. The slot selects its addresses.
@@ -61,18 +66,37 @@
 		f.addNodes(zone, "store", stores)
 		f.addNodes(zone, "edge", edges)
 	}
+	replaced := f.ofRole("store")[f.rng.IntN(zones*stores)]
+	f.replacement = f.addNode(replaced.zone, "store", stores)
+	f.replacement.absent = true
 	return f
 }
 
 // addNodes adds the machines of a role in a zone.
 func (f *fleet) addNodes(zone int, role string, count int) {
-	firstAddress := map[string]int{"core": 1, "store": 10, "edge": 100}[role]
 	for i := range count {
-		n := &node{role: role, name: fmt.Sprintf("%s-%d-%d", role, zone, i), ip: fmt.Sprintf("%s.%d.%d", f.prefix, zone, firstAddress+i)}
-		n.settings = filepath.Join(f.dir, n.name+".conf")
-		f.nodes = append(f.nodes, n)
-		f.writeSettings(n, zone)
+		f.addNode(zone, role, i)
+	}
+}
+
+// addNode adds the machine of a role with a number within its zone.
+func (f *fleet) addNode(zone int, role string, number int) *node {
+	firstAddress := map[string]int{"core": 1, "store": 10, "edge": 100}[role]
+	n := &node{role: role, zone: zone, name: fmt.Sprintf("%s-%d-%d", role, zone, number), ip: fmt.Sprintf("%s.%d.%d", f.prefix, zone, firstAddress+number)}
+	n.settings = filepath.Join(f.dir, n.name+".conf")
+	f.nodes = append(f.nodes, n)
+	f.writeSettings(n, zone)
+	return n
+}
+
+// present returns the machines that are part of the fleet now.
+func (f *fleet) present() (nodes []*node) {
+	for _, n := range f.nodes {
+		if !n.absent {
+			nodes = append(nodes, n)
+		}
 	}
+	return nodes
 }
 
 func (f *fleet) writeSettings(n *node, zone int) {
@@ -128,22 +152,70 @@
 // startAll starts all processes and waits until they accept the first configuration.
 func (f *fleet) startAll() {
 	f.t.Helper()
-	for _, n := range f.nodes {
+	for _, n := range f.present() {
 		f.start(n)
 	}
 	f.waitUntil("the first configuration is accepted", func() bool { return f.changeConfiguration() })
 }
 
-// ofRole returns the nodes of a role.
+// ofRole returns the nodes of a role that are present. Only the goroutine of the soak may call
+// it for stores.
 func (f *fleet) ofRole(role string) (nodes []*node) {
 	for _, n := range f.nodes {
-		if n.role == role {
+		if n.role == role && !n.absent {
 			nodes = append(nodes, n)
 		}
 	}
 	return nodes
 }
 
+// anyIn returns a random node of a role in a zone on which no other event acts, or nil.
+func (f *fleet) anyIn(zone int, role string) *node {
+	var idle []*node
+	for _, n := range f.ofRole(role) {
+		if n.zone == zone && !n.stopping && !n.killed && !n.suspended {
+			idle = append(idle, n)
+		}
+	}
+	if len(idle) == 0 {
+		return nil
+	}
+	return idle[f.rng.IntN(len(idle))]
+}
+
+// kill kills a process and waits for its end.
+func (f *fleet) kill(n *node) {
+	n.killed = true
+	n.signal(syscall.SIGKILL)
+	<-n.process.exited
+}
+
+// removeData removes the disk of a machine whose process has ended.
+func (f *fleet) removeData(n *node) {
+	f.t.Helper()
+	if err := os.RemoveAll(filepath.Join(f.dir, n.name)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// waitUntilListening waits until a process accepts connections of other processes, or
+// has exited.
+func (f *fleet) waitUntilListening(n *node) {
+	address := net.JoinHostPort(n.ip, strconv.Itoa(portInternal))
+	f.waitUntil(n.name+" listens", func() bool {
+		connection, err := net.DialTimeout("tcp", address, pollInterval)
+		if err == nil {
+			return connection.Close() == nil
+		}
+		select {
+		case <-n.process.exited:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // checkExit checks how a process that has exited did so. It returns false if it still runs.
 func (f *fleet) checkExit(n *node) (exited bool) {
 	f.t.Helper()
@@ -197,12 +269,12 @@
 // restartAll resumes all processes and starts those that have exited.
 func (f *fleet) restartAll() {
 	f.t.Helper()
-	for _, n := range f.nodes {
+	for _, n := range f.present() {
 		f.resume(n)
 	}
 	f.waitUntil("the processes that were stopped have exited", func() bool {
 		running := true
-		for _, n := range f.nodes {
+		for _, n := range f.present() {
 			if f.checkExit(n) {
 				f.start(n)
 			}
@@ -215,11 +287,11 @@
 // stopAll stops all processes at once and waits for their exit.
 func (f *fleet) stopAll() {
 	f.t.Helper()
-	for _, n := range f.nodes {
+	for _, n := range f.present() {
 		n.stopping = true
-		n.signal(signalStop)
+		n.signal(syscall.SIGTERM)
 	}
-	for _, n := range f.nodes {
+	for _, n := range f.present() {
 		f.waitUntil(n.name+" has exited", func() bool { return f.checkExit(n) })
 	}
 }
@@ -228,7 +300,7 @@
 	f.t.Helper()
 	for end := time.Now().Add(recoveryTimeout); !is(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
-			for _, n := range f.nodes {
+			for _, n := range f.present() {
 				f.t.Logf("%s:\n%s", n.name, tail(n.process.log.String()))
 			}
 			f.t.Fatalf("timed out after %v waiting until %s", recoveryTimeout, what)
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -10,7 +10,9 @@
 // A soak runs a fleet of real processes under traffic, while processes are stopped, killed,
 // restarted, suspended and reconfigured and while clients that do not behave open connections.
 // All of it is drawn from the seed; what the processes do with it also depends on the machine.
-// Disks are kept, so no fault excuses a broken guarantee:
+// At most one store is replaced by an empty one, and all other disks are kept, so no fault
+// excuses a broken guarantee:
+//   - a message, which its client sends once, is in one partition;
 //   - a message that was refused with 429, 503, 408 or 421 never runs;
 //   - an accepted message runs, and its state is reported with the seal of a run that succeeded;
 //   - messages of an order key start in the order in which they were accepted;
@@ -58,13 +60,14 @@
 	f.startAll()
 	traffic := startTraffic(f)
 	f.waitUntil("messages run", func() bool { return traffic.completed() > 0 })
-	s := &soak{fleet: f, traffic: traffic}
+	s := &soak{fleet: f}
 	s.run(*soakTime)
 	f.restartAll()
 	traffic.stopClients()
 	f.waitUntil("all accepted messages have run", func() bool { return traffic.unfinished() == 0 })
 	traffic.check(t)
+	f.checkPartitions(traffic)
 	f.waitUntil("the newest acknowledged configuration is in force", func() bool { return f.configurationIsKept() })
 	f.stopAll()
-	t.Logf("seed %d: %d processes, events %v, %s", seed, len(f.nodes), s.counts, traffic)
+	t.Logf("seed %d: %d processes, events %v, %s", seed, len(f.present()), s.counts, traffic)
 }
--- a/internal/processtest/soak_traffic_test.go
+++ b/internal/processtest/soak_traffic_test.go
@@ -16,14 +16,13 @@
 // message is a message of a soak, as its client and the handlers saw it. Times are counts of
 // traffic.step.
 type message struct {
-	id, key    string
-	sent       int
-	accepted   int    // 0: no 202
-	name       string // from the 202
-	refused    int    // status of a refusal, which promises that the message never runs
-	started    int    // first start; 0: never
-	seals      []string
-	startedFor int // number of starts
+	id, key  string
+	sent     int
+	accepted int    // 0: no 202
+	name     string // from the 202
+	refused  int    // status of a refusal, which promises that the message never runs
+	started  int    // first start; 0: never
+	seals    []string
 }
 
 // traffic is the clients and the handlers of a soak, and what they saw.
@@ -234,7 +233,6 @@
 		m.started = tr.step
 		tr.checkOrder(m)
 	}
-	m.startedFor++
 	return m, tr.step
 }
 
