partition: what is accepted after a record was taken over is ordered after it

A primary that fetches a pending message from another store kept its place in the order, which counts in the numbers of the former primary, but went on counting in its own. After a restart within an epoch the former numbers are 2^32 ahead, so a later message of the same order key came first.

--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -203,6 +203,8 @@
 		if old := p.records.byID[r.ID]; old != nil && r.State <= old.State {
 			continue
 		}
+		// The record keeps its place in the order: what is accepted from now on follows it.
+		p.records.sequence = max(p.records.sequence, r.Sequence)
 		m.commitLocked(p, r, nil)
 		if r.State == Pending {
 			m.events.push(Event{Partition: p.number, Records: []*Record{r}})
--- a/internal/partition/recovery_test.go
+++ b/internal/partition/recovery_test.go
@@ -148,3 +148,22 @@
 		t.Errorf("delivers after %v, less than a lease of %v", waited, m.timing.lease())
 	}
 }
+
+// A message that is accepted after another one was taken over from a store whose sequence
+// numbers are further on comes after it in the order, also for the next primary, which sorts
+// by it (docs/incidents/order-after-takeover.md).
+func TestMessageAfterAnAdoptedOneIsOrderedAfterIt(t *testing.T) {
+	m := startPrimary(t)
+	adopted := &Record{ID: "adopted", OrderKey: "k", Order: 3 * sequenceGap, Sequence: 3*sequenceGap + 1}
+	m.mu.Lock()
+	complete := m.adoptLocked(m.partitions[0], PartitionBatch{Now: m.Now(), Records: []*Record{adopted}}, nil)
+	m.mu.Unlock()
+	if err := m.Accept(t.Context(), 0, &Record{ID: "later", OrderKey: "k"}); err != nil || !complete {
+		t.Fatal(err, complete)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if pending := m.partitions[0].pending(); len(pending) != 2 || pending[0].ID != "adopted" {
+		t.Errorf("the message accepted later comes first: %+v, %+v", pending[0], pending[1])
+	}
+}
