--- a/internal/cluster/removed_store_test.go
+++ b/internal/cluster/removed_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,6 +34,18 @@
 	}
 }
 
+// sendDelayed sends messages that are due after a delay, through all edges in turn, and returns
+// their names by identifier.
+func (w *world) sendDelayed(count int, delay time.Duration) map[string]string {
+	w.t.Helper()
+	names := map[string]string{}
+	for i := range count {
+		id := fmt.Sprintf("r%d", i)
+		names[id] = w.sendUntilAccepted(zones[i%len(zones)], "/plain/", id, "Saltreel-Delay-Ms", strconv.FormatInt(delay.Milliseconds(), 10))
+	}
+	return names
+}
+
 // Guards against partitions that wait forever for a primary without backups whose machine
 // was removed, although the stores that are back hold every accepted message
 // (docs/incidents/removed-store.md).
@@ -40,11 +53,7 @@
 	runCluster(t, func(w *world) {
 		plain := w.newService("plain", "z1", "z2", "z3")
 		w.applyConfiguration(options{retentionSeconds: 900})
-		names := map[string]string{}
-		for i := range 120 {
-			id := fmt.Sprintf("r%d", i)
-			names[id] = w.sendUntilAccepted(zones[i%3], "/plain/", id, "Saltreel-Delay-Ms", "60000")
-		}
+		names := w.sendDelayed(120, time.Minute)
 		time.Sleep(4 * time.Second)
 		w.removeStoreWhileOthersAreDown("store-z1")
 		w.waitFor(12*time.Second, "all partitions in sync again", w.allInSync)
@@ -65,11 +74,7 @@
 	runCluster(t, func(w *world) {
 		plain := w.newService("plain", "z1", "z2", "z3")
 		w.applyConfiguration(options{retentionSeconds: 900})
-		names := map[string]string{}
-		for i := range 120 {
-			id := fmt.Sprintf("r%d", i)
-			names[id] = w.sendUntilAccepted(zones[i%3], "/plain/", id, "Saltreel-Delay-Ms", "20000")
-		}
+		names := w.sendDelayed(120, 20*time.Second)
 		time.Sleep(4 * time.Second)
 		w.removeStoreWhileOthersAreDown("store-z1")
 		for id, name := range names {
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -39,7 +39,7 @@
 	return &Conn{
 		Conn:     conn,
 		server:   s,
-		reader:   bufio.NewReaderSize(&countedReader{conn, account}, bufferSize),
+		reader:   bufio.NewReaderSize(&activityReader{conn, account}, bufferSize),
 		account:  account,
 		draining: make(chan struct{}),
 	}
@@ -70,7 +70,7 @@
 
 // serve handles requests until the connection ends.
 func (c *Conn) serve(ctx context.Context) {
-	w := bufio.NewWriterSize(&countedWriter{c.Conn, c.account}, bufferSize)
+	w := bufio.NewWriterSize(&activityWriter{c.Conn, c.account}, bufferSize)
 	c.account.SetEvictable()
 	for c.serveRequest(ctx, w) {
 		c.account.Reset()
--- a/internal/httpwire/memory.go
+++ b/internal/httpwire/memory.go
@@ -84,13 +84,13 @@
 	return nil
 }
 
-// countedReader marks the account of a connection as active when data arrives.
-type countedReader struct {
+// activityReader marks the account of a connection as active when data arrives.
+type activityReader struct {
 	net.Conn
 	account *budget.Account
 }
 
-func (r *countedReader) Read(b []byte) (int, error) {
+func (r *activityReader) Read(b []byte) (int, error) {
 	n, err := r.Conn.Read(b)
 	if n > 0 {
 		r.account.Touch()
@@ -101,13 +101,13 @@
 // maxWriteBytes bounds one write of a response, so that its progress is seen.
 const maxWriteBytes = 32 << 10
 
-// countedWriter marks the account of a connection as active when the peer accepts data.
-type countedWriter struct {
+// activityWriter marks the account of a connection as active when the peer accepts data.
+type activityWriter struct {
 	net.Conn
 	account *budget.Account
 }
 
-func (w *countedWriter) Write(b []byte) (written int, err error) {
+func (w *activityWriter) Write(b []byte) (written int, err error) {
 	for {
 		part := b[written:min(len(b), written+maxWriteBytes)]
 		n, err := w.Conn.Write(part)
