processtest: a check of unread bytes fails when it cannot read them

unreadBytes took an error of /proc/net/tcp, or of a line there, for no bytes, so this part of the crowd tests' memory check could not fail then. It returns the error, and the check reports it. The tests of the package pass.

--- a/internal/processtest/limits_test.go
+++ b/internal/processtest/limits_test.go
@@ -40,16 +40,17 @@
 	mu          sync.Mutex
 	descriptors int // the most that were open at once
 	unread      int // the most bytes that had arrived but were not read
+	unreadErr   error
 }
 
 // unreadBytes returns how many bytes have arrived at a machine that its process has not read.
 // They count as memory of the process.
-func unreadBytes(ip string) (sum int) {
+func unreadBytes(ip string) (sum int, err error) {
 	octets := net.ParseIP(ip).To4()
 	prefix := fmt.Sprintf("%02X%02X%02X%02X:", octets[3], octets[2], octets[1], octets[0])
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0
+		return 0, err
 	}
 	for line := range strings.Lines(string(raw)) {
 		fields := strings.Fields(line) // slot, local, remote, state, transmit:receive queue, ...
@@ -58,11 +59,13 @@
 			continue
 		}
 		_, queue, _ := strings.Cut(fields[4], ":")
-		if unread, err := strconv.ParseUint(queue, 16, 64); err == nil {
-			sum += int(unread)
+		unread, err := strconv.ParseUint(queue, 16, 64)
+		if err != nil {
+			return 0, fmt.Errorf("receive queue of %q: %w", line, err)
 		}
+		sum += int(unread)
 	}
-	return sum
+	return sum, nil
 }
 
 const descriptorPollInterval = 20 * time.Millisecond
@@ -89,7 +92,12 @@
 
 func (m *resourceMonitor) poll() {
 	for {
-		unread := unreadBytes(m.ip)
+		unread, unreadErr := unreadBytes(m.ip)
+		if unreadErr != nil {
+			m.mu.Lock()
+			m.unreadErr = unreadErr
+			m.mu.Unlock()
+		}
 		if list, err := os.ReadDir(m.path("fd")); err == nil {
 			m.mu.Lock()
 			m.descriptors = max(m.descriptors, len(list))
@@ -112,7 +120,7 @@
 	m.done.Wait()
 	m.process.checkRunning(t)
 	memory, err := m.process.peakMemoryMB()
-	if err != nil {
+	if err = errors.Join(err, m.unreadErr); err != nil {
 		t.Fatal(err)
 	}
 	unread := m.unread >> 20
