partition, delivery: accepted messages keep their order over takeovers

A message stored by a deposed primary as 517 was taken over by one that had accepted 518; a message stored as 663 in epoch 13 and as 662 in epoch 14 had the same number as the next one.

Change: messages are ordered by position (epoch, number). A pending message that a primary takes over gets a new position: it has not been accepted.

On the code before, TestAdoptedMessageComesAfterAcceptedOnes and TestMessagesOfDifferentEpochsAreOrderedByEpochFirst fail; both pass now.

--- a/internal/delivery/message.go
+++ b/internal/delivery/message.go
@@ -98,7 +98,7 @@
 // whether it is the first.
 func (q *orderKeyQueue) insert(m *message) bool {
 	at := len(q.messages)
-	for at > 0 && q.messages[at-1].record.Order > m.record.Order && !q.messages[at-1].running {
+	for at > 0 && q.messages[at-1].record.Position().After(m.record.Position()) && !q.messages[at-1].running {
 		at--
 	}
 	q.messages = append(q.messages, nil)
--- a/internal/partition/antientropy.go
+++ b/internal/partition/antientropy.go
@@ -194,23 +194,38 @@
 // adoptLocked commits records of another store as changes of the current epoch, where
 // their state is later than the state here. It stops at the first truncated body, and
 // reports whether all bodies were complete.
+//
+// A pending message that this primary lacks has not been accepted. It comes after those
+// that have, whatever its position at the other store: that one may have stored it after
+// it was deposed.
 func (m *Manager) adoptLocked(p *partition, batch PartitionBatch, bodies []byte) bool {
-	for _, r := range batch.Records {
-		var complete bool
-		if bodies, complete = m.receiveRecord(p, r, bodies, m.Now()-batch.Now); !complete {
-			return false
-		}
+	received, complete := m.receiveRecords(p, batch, bodies)
+	slices.SortFunc(received, func(a, b *Record) int { return a.Position().Compare(b.Position()) })
+	for _, r := range received {
 		if old := p.records.byID[r.ID]; old != nil && r.State <= old.State {
 			continue
 		}
-		// The record keeps its place in the order: what is accepted from now on follows it.
-		p.records.sequence = max(p.records.sequence, r.Sequence)
+		if r.State == Pending {
+			r.Order = p.records.sequence + 1
+		}
 		m.commitLocked(p, r, nil)
 		if r.State == Pending {
 			m.events.push(Event{Partition: p.number, Records: []*Record{r}})
 		}
 	}
-	return true
+	return complete
+}
+
+// receiveRecords completes the records of a batch up to the first truncated body, and
+// reports whether all bodies were complete.
+func (m *Manager) receiveRecords(p *partition, batch PartitionBatch, bodies []byte) (received []*Record, complete bool) {
+	for _, r := range batch.Records {
+		if bodies, complete = m.receiveRecord(p, r, bodies, m.Now()-batch.Now); !complete {
+			return received, false
+		}
+		received = append(received, r)
+	}
+	return received, true
 }
 
 // receiveRecord completes a record that another store sent. It takes the body from the
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -1,7 +1,6 @@
 package partition
 
 import (
-	"cmp"
 	"slices"
 
 	"saltreel/internal/placement"
@@ -116,7 +115,9 @@
 	return p.records.byID[r.ID]
 }
 
-// pending returns the pending deferred messages in the order of their arrival.
+// pending returns the pending deferred messages in the order of their acceptance, which is
+// that of their positions: a primary counts on from what it holds, and primaries of
+// different epochs may have given the same number.
 func (p *partition) pending() []*Record {
 	var pending []*Record
 	for _, r := range p.records.byID {
@@ -124,7 +125,7 @@
 			pending = append(pending, r)
 		}
 	}
-	slices.SortFunc(pending, func(a, b *Record) int { return cmp.Compare(a.Order, b.Order) })
+	slices.SortFunc(pending, func(a, b *Record) int { return a.Position().Compare(b.Position()) })
 	return pending
 }
 
--- a/internal/partition/recovery_test.go
+++ b/internal/partition/recovery_test.go
@@ -149,21 +149,57 @@
 	}
 }
 
-// A message that is accepted after another one was taken over from a store whose sequence
-// numbers are further on comes after it in the order, also for the next primary, which sorts
-// by it (docs/incidents/order-after-takeover.md).
-func TestMessageAfterAnAdoptedOneIsOrderedAfterIt(t *testing.T) {
+// The order of acceptance, by which the next primary sorts, holds beside messages that were
+// taken over from another store without having been accepted: that store may have counted
+// further, and may have stored them after it was deposed (docs/incidents/order-after-takeover.md).
+func TestAdoptedMessageComesAfterAcceptedOnes(t *testing.T) {
 	m := startPrimary(t)
-	adopted := &Record{ID: "adopted", OrderKey: "k", Order: 3 * sequenceGap, Sequence: 3*sequenceGap + 1}
+	accept := func(id string) {
+		t.Helper()
+		if err := m.Accept(t.Context(), 0, &Record{ID: id, OrderKey: "k"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	adopt := func(records ...*Record) {
+		t.Helper()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if !m.adoptLocked(m.partitions[0], PartitionBatch{Now: m.Now(), Records: records}, nil) {
+			t.Fatal("not adopted")
+		}
+	}
+	accept("first")
+	accept("second")
+	adopt(&Record{ID: "fourth", Epoch: 5, Order: 2}, &Record{ID: "third", Epoch: 5, Order: 1})
+	accept("fifth")
+	adopt(&Record{ID: "sixth", Epoch: 5, Order: 3 * sequenceGap, Sequence: 3 * sequenceGap})
+	accept("seventh")
+	checkPendingOrder(t, m, "first", "second", "third", "fourth", "fifth", "sixth", "seventh")
+}
+
+// A store that had stored a message before it was replaced as the primary keeps the position
+// that it gave, while its successors count on from a lower number.
+func TestMessagesOfDifferentEpochsAreOrderedByEpochFirst(t *testing.T) {
+	m := startBackup(t)
 	m.mu.Lock()
-	complete := m.adoptLocked(m.partitions[0], PartitionBatch{Now: m.Now(), Records: []*Record{adopted}}, nil)
+	p := m.partitions[0]
+	m.storeLocked(p, &Record{ID: "second", Epoch: 5, Order: 7}, nil)
+	m.storeLocked(p, &Record{ID: "third", Epoch: 5, Order: 8}, nil)
+	m.storeLocked(p, &Record{ID: "first", Epoch: 4, Order: 8}, nil)
 	m.mu.Unlock()
-	if err := m.Accept(t.Context(), 0, &Record{ID: "later", OrderKey: "k"}); err != nil || !complete {
-		t.Fatal(err, complete)
-	}
+	checkPendingOrder(t, m, "first", "second", "third")
+}
+
+// checkPendingOrder checks the order of the pending messages of partition 0.
+func checkPendingOrder(t *testing.T, m *Manager, want ...string) {
+	t.Helper()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if pending := m.partitions[0].pending(); len(pending) != 2 || pending[0].ID != "adopted" {
-		t.Errorf("the message accepted later comes first: %+v, %+v", pending[0], pending[1])
+	var got []string
+	for _, r := range m.partitions[0].pending() {
+		got = append(got, r.ID)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("pending messages %v, want %v", got, want)
 	}
 }
