partition, store: the limiter keeps its owner with fewer backups than needed

Edges answered 429 after 1.9 s instead of 503 at once while one store was left: since a primary without backups does not deliver, and the owner of the limiter was asked by the same rule, so there was none.

--- a/internal/partition/lease.go
+++ b/internal/partition/lease.go
@@ -58,13 +58,20 @@
 func (l *grantedLease) end() { l.expires = time.Time{} }
 
 // MayDeliver reports whether this store may start deliveries of partition n now.
-func (m *Manager) MayDeliver(n int) bool {
+func (m *Manager) MayDeliver(n int) bool { return m.holdsLeases(n, m.config.Backups) }
+
+// HoldsLeases is MayDeliver without a minimum of backups. It is enough for what needs no
+// more than one owner at a time while messages can be accepted: in an incomplete epoch
+// none can, and a successor may hold its own leases beside this store.
+func (m *Manager) HoldsLeases(n int) bool { return m.holdsLeases(n, 0) }
+
+func (m *Manager) holdsLeases(n, neededBackups int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.isPrimaryLocked(n) {
 		return false
 	}
-	return m.partitions[n].mayDeliver(time.Now(), m.timing.deliveryMargin(), m.config.Backups)
+	return m.partitions[n].mayDeliver(time.Now(), m.timing.deliveryMargin(), neededBackups)
 }
 
 // mayDeliver reports whether the primary may deliver: no handover has stopped its
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -148,7 +148,7 @@
 		ReconcileInterval: s.timing.limiterReconcileInterval(),
 		Table:             s.node.Table,
 		Partitions:        s.partitionCount,
-		IsOwner:           s.partitions.MayDeliver,
+		IsOwner:           s.partitions.HoldsLeases,
 		Downtime:          s.partitions.Downtime,
 		RecordActivity:    s.partitions.RecordActivity,
 	})
